--- /dev/null
+++ b/http/src/main/java/org/redwingladder/http/AnswerLostException.java
@@ -0,0 +1,34 @@
+package org.redwingladder.http;
+
+/** Reports that the answer was lost after sending began: the work may have run. */
+public final class AnswerLostException extends CallException {
+
+    /** Names how an answer was lost. */
+    public enum Cause {
+        /** The connection ended before the answer was complete. */
+        CUT_OFF,
+        /** The deadline passed before the answer was complete. */
+        DEADLINE,
+        /** The caller cancelled the call. */
+        CANCELLED,
+        /** The receiver of a streamed answer went away. */
+        RECEIVER_GONE
+    }
+
+    private final Cause mCause;
+
+    AnswerLostException(Cause cause, String message) {
+        super(message);
+        mCause = cause;
+    }
+
+    /** Returns how the answer was lost. */
+    public Cause reason() {
+        return mCause;
+    }
+
+    @Override
+    public boolean neverSent() {
+        return false;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/redwingladder/http/BadAnswerException.java
@@ -0,0 +1,14 @@
+package org.redwingladder.http;
+
+/** Reports an answer that breaks the protocol and was discarded: the work may have run. */
+public final class BadAnswerException extends CallException {
+
+    BadAnswerException(String message) {
+        super(message);
+    }
+
+    @Override
+    public boolean neverSent() {
+        return false;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -0,0 +1,105 @@
+package org.redwingladder.http;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import java.net.InetSocketAddress;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Describes one call. It is filled in by one thread and not changed after it was sent; each call
+ * needs its own.
+ */
+public final class CallRequest {
+    private static final HttpString REQUEST_ID =
+            new HttpString(org.redwingladder.api.Headers.REQUEST_ID);
+
+    private final InetSocketAddress mAddress;
+    private final long mDeadlineNanos;
+    private final ClientRequest mRequest = new ClientRequest();
+    private byte @Nullable [] mBody;
+    private @Nullable String mRequestId;
+    private int mMaxWholeBytes = CallerLimits.DEFAULT_WHOLE_BYTES;
+
+    private CallRequest(
+            HttpString method, InetSocketAddress address, String path, long deadlineNanos) {
+        mAddress = address;
+        mDeadlineNanos = deadlineNanos;
+        mRequest.setMethod(method).setPath(path).setProtocol(Protocols.HTTP_1_1);
+    }
+
+    /**
+     * Returns a request without body.
+     *
+     * @param path the path with its query, percent-encoded
+     * @param deadlineNanos the instant of {@link System#nanoTime} at which the call is given up
+     */
+    public static CallRequest of(
+            HttpString method, InetSocketAddress address, String path, long deadlineNanos) {
+        return new CallRequest(method, address, path, deadlineNanos);
+    }
+
+    /** Sets a header. */
+    public CallRequest header(HttpString name, String value) {
+        mRequest.getRequestHeaders().put(name, value);
+        return this;
+    }
+
+    /** Sets the body and its length. */
+    public CallRequest body(byte[] body) {
+        mBody = body.length == 0 ? null : body;
+        mRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        return this;
+    }
+
+    /** Sets a JSON body. */
+    public CallRequest json(Object value) {
+        header(Headers.CONTENT_TYPE, "application/json");
+        return body(Json.write(value));
+    }
+
+    /** Sets the request id that the answer must repeat; any other answer is discarded. */
+    public CallRequest requestId(String requestId) {
+        mRequestId = requestId;
+        return header(REQUEST_ID, requestId);
+    }
+
+    /** Sets the size up to which the answer is read whole. */
+    public CallRequest maxWholeBytes(int bytes) {
+        mMaxWholeBytes = bytes;
+        return this;
+    }
+
+    /** Returns the headers for a caller that fills in many of them. */
+    public HeaderMap headers() {
+        return mRequest.getRequestHeaders();
+    }
+
+    /** Returns the address that is called. */
+    public InetSocketAddress address() {
+        return mAddress;
+    }
+
+    /** Returns the instant of {@link System#nanoTime} at which the call is given up. */
+    public long deadlineNanos() {
+        return mDeadlineNanos;
+    }
+
+    ClientRequest request() {
+        return mRequest;
+    }
+
+    byte @Nullable [] body() {
+        return mBody;
+    }
+
+    @Nullable String requestId() {
+        return mRequestId;
+    }
+
+    int maxWholeBytes() {
+        return mMaxWholeBytes;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -0,0 +1,297 @@
+package org.redwingladder.http;
+
+import static org.redwingladder.http.NotSentException.Cause;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListeners;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Carries one call from the connection to the end of its answer. All steps after the choice of the
+ * connection run on the connection's I/O thread.
+ */
+final class ClientCall implements Call, ClientCallback<ClientExchange> {
+    private static final HttpString REQUEST_ID =
+            new HttpString(org.redwingladder.api.Headers.REQUEST_ID);
+
+    private final HttpCaller mCaller;
+    private final CallRequest mRequest;
+    private final AnswerHandler mHandler;
+    private volatile @Nullable XnioIoThread mThread;
+    private volatile boolean mSent;
+    private boolean mDone;
+    private @Nullable PooledConnection mConnection;
+    private XnioExecutor.@Nullable Key mTimer;
+    private @Nullable ByteBuffer mUnsentBody;
+    private Consumer<CallException> mOnFailure;
+
+    ClientCall(HttpCaller caller, CallRequest request, AnswerHandler handler) {
+        mCaller = caller;
+        mRequest = request;
+        mHandler = handler;
+        mOnFailure = handler::failed;
+    }
+
+    @Override
+    public boolean sent() {
+        return mSent;
+    }
+
+    @Override
+    public void cancel() {
+        runInThread(() -> fail(AnswerLostException.Cause.CANCELLED, Cause.CANCELLED, "cancelled"));
+    }
+
+    /** Waits on {@code thread} for a connection to be opened. */
+    void awaitConnection(XnioIoThread thread) {
+        mThread = thread;
+        runInThread(this::startTimer);
+    }
+
+    void useConnection(PooledConnection connection) {
+        mThread = connection.thread();
+        runInThread(
+                () -> {
+                    startTimer();
+                    start(connection);
+                });
+    }
+
+    void connected(PooledConnection connection) {
+        runInThread(() -> start(connection));
+    }
+
+    void notConnected(IOException cause) {
+        runInThread(
+                () ->
+                        finish(
+                                new NotSentException(
+                                        Cause.REFUSED,
+                                        "no connection to "
+                                                + Addresses.format(mRequest.address())
+                                                + ": "
+                                                + cause.getMessage())));
+    }
+
+    private void runInThread(Runnable step) {
+        XnioIoThread thread = mThread;
+        if (thread == null) {
+            return;
+        }
+        if (Thread.currentThread() == thread) {
+            step.run();
+        } else {
+            thread.execute(step);
+        }
+    }
+
+    private void startTimer() {
+        long wait = mRequest.deadlineNanos() - System.nanoTime();
+        if (wait <= 0) {
+            deadlinePassed();
+        } else if (!mDone) {
+            XnioIoThread thread = mThread;
+            if (thread != null) {
+                mTimer = thread.executeAfter(this::deadlinePassed, wait, TimeUnit.NANOSECONDS);
+            }
+        }
+    }
+
+    private void deadlinePassed() {
+        fail(AnswerLostException.Cause.DEADLINE, Cause.DEADLINE, "the deadline passed");
+    }
+
+    private void start(PooledConnection connection) {
+        if (mDone) {
+            connection.release();
+            return;
+        }
+        mConnection = connection;
+        if (!connection.isOpen()) {
+            finish(new NotSentException(Cause.REFUSED, "the connection was closed"));
+            return;
+        }
+        HeaderMap headers = mRequest.request().getRequestHeaders();
+        if (!headers.contains(Headers.HOST)) {
+            headers.put(Headers.HOST, Addresses.format(mRequest.address()));
+        }
+        byte[] body = mRequest.body();
+        mUnsentBody = body == null ? null : ByteBuffer.wrap(body);
+        mSent = true;
+        connection.connection().sendRequest(mRequest.request(), this);
+    }
+
+    /** Writes the body once the head is on its way. */
+    @Override
+    public void completed(ClientExchange exchange) {
+        exchange.setResponseListener(
+                new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientExchange answered) {
+                        answerStarted(answered);
+                    }
+
+                    @Override
+                    public void failed(IOException cause) {
+                        ClientCall.this.failed(cause);
+                    }
+                });
+        if (mUnsentBody != null) {
+            writeBody(exchange.getRequestChannel());
+        }
+    }
+
+    @Override
+    public void failed(IOException cause) {
+        cutOff(cause);
+    }
+
+    private void writeBody(StreamSinkChannel sink) {
+        try {
+            ByteBuffer body = mUnsentBody;
+            while (body != null && body.hasRemaining()) {
+                if (sink.write(body) == 0) {
+                    sink.getWriteSetter().set(this::writeBody);
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            mUnsentBody = null;
+            sink.suspendWrites();
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter()
+                        .set(
+                                ChannelListeners.flushingChannelListener(
+                                        null, (channel, cause) -> cutOff(cause)));
+                sink.resumeWrites();
+            }
+        } catch (IOException e) {
+            cutOff(e);
+        }
+    }
+
+    private void answerStarted(ClientExchange exchange) {
+        PooledConnection connection = mConnection;
+        if (mDone || connection == null) {
+            return;
+        }
+        ClientResponse response = exchange.getResponse();
+        String fault = fault(response);
+        if (fault != null) {
+            finish(new BadAnswerException(fault));
+            return;
+        }
+        new AnswerReader(this, exchange, response, connection, bodyLength(response)).start();
+    }
+
+    private @Nullable String fault(ClientResponse response) {
+        HeaderMap headers = response.getResponseHeaders();
+        String expected = mRequest.requestId();
+        if (expected != null && !expected.equals(headers.getFirst(REQUEST_ID))) {
+            return "the answer carries another request id: " + headers.getFirst(REQUEST_ID);
+        }
+        if (mUnsentBody != null) {
+            return "the answer came before the request was sent whole";
+        }
+        return bodyLength(response) == AnswerReader.UNDELIMITED
+                ? "the answer has neither Content-Length nor chunking"
+                : null;
+    }
+
+    /** Returns the body's length, -1 if it is chunked or UNDELIMITED if its end cannot be seen. */
+    private long bodyLength(ClientResponse response) {
+        int status = response.getResponseCode();
+        if (Methods.HEAD.equals(mRequest.request().getMethod()) || status == 204 || status == 304) {
+            return 0;
+        }
+        HeaderMap headers = response.getResponseHeaders();
+        String encoding = headers.getFirst(Headers.TRANSFER_ENCODING);
+        if (encoding != null) {
+            boolean chunked = Headers.CHUNKED.equals(new HttpString(encoding));
+            return chunked ? AnswerReader.CHUNKED : AnswerReader.UNDELIMITED;
+        }
+        String length = headers.getFirst(Headers.CONTENT_LENGTH);
+        if (length == null || headers.count(Headers.CONTENT_LENGTH) != 1) {
+            return AnswerReader.UNDELIMITED;
+        }
+        try {
+            long value = Long.parseLong(length);
+            return value < 0 ? AnswerReader.UNDELIMITED : value;
+        } catch (NumberFormatException e) {
+            return AnswerReader.UNDELIMITED;
+        }
+    }
+
+    HttpCaller caller() {
+        return mCaller;
+    }
+
+    CallRequest request() {
+        return mRequest;
+    }
+
+    AnswerHandler handler() {
+        return mHandler;
+    }
+
+    /** Sets who learns of a failure from here on. */
+    void onFailure(Consumer<CallException> onFailure) {
+        mOnFailure = onFailure;
+    }
+
+    boolean done() {
+        return mDone;
+    }
+
+    void cutOff(IOException cause) {
+        finish(
+                new AnswerLostException(
+                        AnswerLostException.Cause.CUT_OFF,
+                        "the connection ended before the answer: " + cause.getMessage()));
+    }
+
+    private void fail(AnswerLostException.Cause lost, Cause notSent, String message) {
+        finish(
+                mSent
+                        ? new AnswerLostException(lost, message)
+                        : new NotSentException(notSent, message));
+    }
+
+    /** Ends the call without an answer and closes its connection. */
+    void finish(CallException cause) {
+        if (end()) {
+            PooledConnection connection = mConnection;
+            if (connection != null) {
+                connection.close();
+            }
+            mOnFailure.accept(cause);
+        }
+    }
+
+    /** Ends the call; returns false if it has ended before. */
+    boolean end() {
+        if (mDone) {
+            return false;
+        }
+        mDone = true;
+        if (mTimer != null) {
+            mTimer.remove();
+            mTimer = null;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/redwingladder/http/HttpCaller.java
@@ -0,0 +1,204 @@
+package org.redwingladder.http;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Makes HTTP calls without blocking a thread.
+ *
+ * <p>Each connection carries one call at a time and belongs to one I/O thread. A call that starts
+ * on an I/O thread of the caller's worker prefers a connection of the same thread, which avoids a
+ * hand-off. A connection is used again only after its answer was complete and nothing followed it.
+ */
+public final class HttpCaller implements AutoCloseable {
+    private static final OptionMap CONNECTION_OPTIONS =
+            OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(UndertowOptions.ENABLE_HTTP2, false)
+                    .getMap();
+
+    private final XnioWorker mWorker;
+    private final ByteBufferPool mBuffers;
+    private final CallerLimits mLimits;
+    private final boolean mOwnsWorker;
+    private final Map<InetSocketAddress, ConnectionPool> mPools = new ConcurrentHashMap<>();
+    private volatile boolean mClosed;
+
+    private HttpCaller(
+            XnioWorker worker, ByteBufferPool buffers, CallerLimits limits, boolean ownsWorker) {
+        mWorker = worker;
+        mBuffers = buffers;
+        mLimits = limits;
+        mOwnsWorker = ownsWorker;
+        mWorker.getIoThread(0)
+                .executeAtInterval(
+                        this::closeIdleConnections, limits.idleMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns a caller that shares the I/O threads and buffers of a server. */
+    public static HttpCaller create(
+            XnioWorker worker, ByteBufferPool buffers, CallerLimits limits) {
+        return new HttpCaller(
+                requireNonNull(worker), requireNonNull(buffers), requireNonNull(limits), false);
+    }
+
+    /**
+     * Returns a caller with I/O threads of its own, which end when it is closed.
+     *
+     * @throws IOException if the threads cannot be created
+     */
+    public static HttpCaller create(int ioThreads, CallerLimits limits) throws IOException {
+        OptionMap options =
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, ioThreads)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .getMap();
+        XnioWorker worker = Xnio.getInstance().createWorker(options);
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 256, 4);
+        return new HttpCaller(worker, buffers, limits, true);
+    }
+
+    /** Starts a call. The handler may be called before this method returns. */
+    public Call send(CallRequest request, AnswerHandler handler) {
+        XnioIoThread current = XnioIoThread.currentThread();
+        XnioIoThread preferred =
+                current != null && current.getWorker() == mWorker ? current : mWorker.getIoThread();
+        ClientCall call = new ClientCall(this, request, handler);
+        if (mClosed) {
+            handler.failed(
+                    new NotSentException(NotSentException.Cause.CLOSED, "the caller is closed"));
+            return call;
+        }
+        ConnectionPool pool = pool(request.address());
+        PooledConnection idle = pool.acquire(preferred);
+        if (idle != null) {
+            call.useConnection(idle);
+        } else if (pool.reserve()) {
+            call.awaitConnection(preferred);
+            connect(pool, preferred, call);
+        } else {
+            handler.failed(
+                    new NotSentException(
+                            NotSentException.Cause.POOL_FULL,
+                            "all connections to " + request.address() + " are in use"));
+        }
+        return call;
+    }
+
+    /**
+     * Makes a call whose answer must fit into the request's limit for whole answers. The future
+     * fails with a {@link CallException}.
+     */
+    public CompletableFuture<WholeAnswer> ask(CallRequest request) {
+        FutureHandler handler = new FutureHandler();
+        send(request, handler);
+        return handler.future();
+    }
+
+    /** Returns the number of open connections to an address, in use or not. */
+    public int openConnections(InetSocketAddress address) {
+        ConnectionPool pool = mPools.get(address);
+        return pool == null ? 0 : pool.open();
+    }
+
+    /** Returns the I/O threads that the calls run on. */
+    public XnioWorker worker() {
+        return mWorker;
+    }
+
+    ByteBufferPool buffers() {
+        return mBuffers;
+    }
+
+    private ConnectionPool pool(InetSocketAddress address) {
+        ConnectionPool pool = mPools.get(address);
+        return pool != null
+                ? pool
+                : mPools.computeIfAbsent(
+                        address,
+                        key -> new ConnectionPool(key, mLimits.maxConnectionsPerAddress()));
+    }
+
+    private void connect(ConnectionPool pool, XnioIoThread thread, ClientCall call) {
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<ClientConnection>() {
+                            @Override
+                            public void completed(ClientConnection connection) {
+                                PooledConnection pooled = new PooledConnection(connection, pool);
+                                connection.addCloseListener(c -> pooled.closed());
+                                call.connected(pooled);
+                            }
+
+                            @Override
+                            public void failed(IOException cause) {
+                                pool.unreserve();
+                                call.notConnected(cause);
+                            }
+                        },
+                        URI.create("http://" + Addresses.format(pool.address())),
+                        thread,
+                        mBuffers,
+                        CONNECTION_OPTIONS);
+    }
+
+    private void closeIdleConnections() {
+        long idleSince = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(mLimits.idleMillis());
+        mPools.values().forEach(pool -> pool.closeIdleSince(idleSince));
+        mPools.values().removeIf(ConnectionPool::unused);
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mPools.values().forEach(pool -> pool.closeIdleSince(Long.MAX_VALUE));
+        if (mOwnsWorker) {
+            mWorker.shutdown();
+        }
+    }
+
+    /** Turns a result into a future. */
+    private static final class FutureHandler implements AnswerHandler {
+        private final CompletableFuture<WholeAnswer> mFuture = new CompletableFuture<>();
+
+        CompletableFuture<WholeAnswer> future() {
+            return mFuture;
+        }
+
+        @Override
+        public void whole(WholeAnswer answer) {
+            mFuture.complete(answer);
+        }
+
+        @Override
+        public void streamed(StreamedAnswer answer) {
+            answer.discard();
+            mFuture.completeExceptionally(new BadAnswerException("the answer is too long"));
+        }
+
+        @Override
+        public void failed(CallException cause) {
+            mFuture.completeExceptionally(cause);
+        }
+    }
+}
