--- /dev/null
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -0,0 +1,245 @@
+package org.redwingladder.limits;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.RefusalReason;
+
+/**
+ * Holds all caps of one site.
+ *
+ * <p>A request is counted twice against a rate. {@link #tryAdmit} counts it on arrival, so that a
+ * request above the cap is refused at once. {@link #trySend} counts it when it leaves for a backend
+ * server, because requests that waited in the queue would otherwise leave closer together than they
+ * came. Instants are nanoseconds of one monotonic clock. Not thread-safe.
+ */
+public final class SiteLimits {
+    /** How long answers may wait for a link before new requests over it are refused. */
+    private static final long LINK_BACKLOG_NANOS = 1_000_000_000L;
+
+    /** How long a client waits for a place in flight, which becomes free at no known time. */
+    private static final long IN_FLIGHT_RETRY_NANOS = 100_000_000L;
+
+    private final Map<String, String> mRegionOfZone;
+    private final Map<String, CapState> mCaps = new LinkedHashMap<>();
+    private final Map<String, CapState[]> mCapsByZone = new HashMap<>();
+    private final Map<String, BitPacer> mPacersByRegion = new HashMap<>();
+
+    private SiteLimits(Map<String, String> regionOfZone) {
+        mRegionOfZone = Map.copyOf(regionOfZone);
+    }
+
+    /**
+     * Creates the limits of a site.
+     *
+     * @param regionOfZone the region of each zone that requests may come from
+     * @param caps the site's parts of the caps
+     * @param bitsPerSecondByRegion the site's part of the link to each other region
+     */
+    public static SiteLimits create(
+            Map<String, String> regionOfZone,
+            List<SiteCap> caps,
+            Map<String, Long> bitsPerSecondByRegion,
+            long nowNanos) {
+        SiteLimits limits = new SiteLimits(regionOfZone);
+        limits.change(caps, bitsPerSecondByRegion, nowNanos);
+        return limits;
+    }
+
+    /** Returns limits that let everything in. */
+    public static SiteLimits unlimited() {
+        return new SiteLimits(Map.of());
+    }
+
+    /**
+     * Replaces the caps by those of another settings version. What is in flight stays counted, and
+     * a bucket whose rate changes starts empty.
+     */
+    public void change(List<SiteCap> caps, Map<String, Long> bitsPerSecondByRegion, long nowNanos) {
+        Map<String, CapState> old = new HashMap<>(mCaps);
+        mCaps.clear();
+        mCapsByZone.clear();
+        for (SiteCap cap : caps) {
+            CapState state = old.get(cap.name());
+            if (state == null || !state.mCap.from().equals(cap.from())) {
+                state = new CapState(cap, nowNanos);
+            } else {
+                state.change(cap, nowNanos);
+            }
+            mCaps.put(cap.name(), state);
+        }
+        mPacersByRegion.keySet().retainAll(bitsPerSecondByRegion.keySet());
+        bitsPerSecondByRegion.forEach(
+                (region, bits) -> {
+                    BitPacer pacer = mPacersByRegion.get(region);
+                    if (pacer == null || pacer.bitsPerSecond() != bits) {
+                        mPacersByRegion.put(region, BitPacer.createEmpty(bits, nowNanos));
+                    }
+                });
+    }
+
+    /** Counts a former owner's work, the whole of each cap, as running until {@code untilNanos}. */
+    public void carryOver(long untilNanos) {
+        for (CapState cap : mCaps.values()) {
+            if (cap.mCap.inFlight() != SiteCap.UNLIMITED) {
+                cap.mGate.carryOver(cap.mGate.cap(), untilNanos);
+            }
+        }
+    }
+
+    /** Takes a place for a request from {@code fromZone} under all caps, or under none. */
+    public Admission tryAdmit(String fromZone, long nowNanos) {
+        BitPacer pacer = pacerTo(fromZone);
+        if (pacer != null && pacer.freeAtNanos() - nowNanos > LINK_BACKLOG_NANOS) {
+            return new Admission.Refused(
+                    RefusalReason.LINK_FULL,
+                    requireNonNull(mRegionOfZone.get(fromZone)),
+                    pacer.freeAtNanos() - LINK_BACKLOG_NANOS);
+        }
+        CapState[] caps = capsOf(fromZone);
+        for (CapState cap : caps) {
+            Admission.@Nullable Refused refused = cap.check(nowNanos);
+            if (refused != null) {
+                return refused;
+            }
+        }
+        for (CapState cap : caps) {
+            cap.take(nowNanos);
+        }
+        return new Admission.Admitted(caps);
+    }
+
+    /** Returns whether an admitted request may leave for a backend server now, and counts it. */
+    public boolean trySend(Admission.Admitted admitted, long nowNanos) {
+        if (sendAtNanos(admitted, nowNanos) > nowNanos) {
+            return false;
+        }
+        for (CapState cap : admitted.caps()) {
+            if (cap.mSends != null) {
+                cap.mSends.tryTake(nowNanos);
+            }
+        }
+        return true;
+    }
+
+    /** Returns the instant from which on an admitted request may leave. */
+    public long sendAtNanos(Admission.Admitted admitted, long nowNanos) {
+        long at = nowNanos;
+        for (CapState cap : admitted.caps()) {
+            if (cap.mClosed) {
+                return Long.MAX_VALUE;
+            }
+            if (cap.mSends != null) {
+                at = Math.max(at, cap.mSends.nextNanos());
+            }
+        }
+        return at;
+    }
+
+    /** Gives the places of a request back; a second call has no effect. */
+    public void release(Admission.Admitted admitted) {
+        if (!admitted.releaseOnce()) {
+            return;
+        }
+        for (CapState cap : admitted.caps()) {
+            cap.mGate.leave();
+        }
+    }
+
+    /** Returns the pacer of answers to a zone, or null if its link is not limited. */
+    public @Nullable BitPacer pacerTo(String zone) {
+        String region = mRegionOfZone.get(zone);
+        return region == null ? null : mPacersByRegion.get(region);
+    }
+
+    private CapState[] capsOf(String zone) {
+        CapState[] known = mCapsByZone.get(zone);
+        if (known != null) {
+            return known;
+        }
+        CapState[] caps = matchingCaps(zone);
+        // Names of unknown zones come from outside and would grow the map without bound.
+        if (mRegionOfZone.containsKey(zone)) {
+            mCapsByZone.put(zone, caps);
+        }
+        return caps;
+    }
+
+    private CapState[] matchingCaps(String zone) {
+        List<CapState> matching = new ArrayList<>();
+        for (CapState cap : mCaps.values()) {
+            String from = cap.mCap.from();
+            if (from.equals(SiteCap.ANY)
+                    || from.equals(zone)
+                    || from.equals(mRegionOfZone.get(zone))) {
+                matching.add(cap);
+            }
+        }
+        return matching.toArray(CapState[]::new);
+    }
+
+    /** Holds the buckets and the gate of one cap. */
+    static final class CapState {
+        private SiteCap mCap;
+        private @Nullable RateBucket mArrivals;
+        private @Nullable RateBucket mSends;
+        private final InFlightGate mGate;
+        private boolean mClosed;
+
+        CapState(SiteCap cap, long nowNanos) {
+            mCap = cap;
+            setRate(cap.requestsPerSecond(), nowNanos);
+            mGate = InFlightGate.of(limitOf(cap));
+        }
+
+        /** Counts without a limit too, since a later version may set one. */
+        private static int limitOf(SiteCap cap) {
+            return cap.inFlight() == SiteCap.UNLIMITED ? Integer.MAX_VALUE : cap.inFlight();
+        }
+
+        void change(SiteCap cap, long nowNanos) {
+            if (cap.requestsPerSecond() != mCap.requestsPerSecond()) {
+                setRate(cap.requestsPerSecond(), nowNanos);
+            }
+            mGate.changeCap(limitOf(cap));
+            mCap = cap;
+        }
+
+        private void setRate(long perSecond, long nowNanos) {
+            mClosed = perSecond == 0;
+            boolean limited = perSecond > 0;
+            mArrivals = limited ? RateBucket.createEmpty(perSecond, nowNanos) : null;
+            mSends = limited ? RateBucket.createEmpty(perSecond, nowNanos) : null;
+        }
+
+        Admission.@Nullable Refused check(long nowNanos) {
+            if (mClosed) {
+                return new Admission.Refused(RefusalReason.CAP_RATE, mCap.name(), 0);
+            }
+            if (mArrivals != null && mArrivals.nextNanos() > nowNanos) {
+                return new Admission.Refused(
+                        RefusalReason.CAP_RATE, mCap.name(), mArrivals.nextNanos());
+            }
+            if (!mGate.hasRoom(nowNanos)) {
+                long retryAt =
+                        Math.max(
+                                nowNanos + IN_FLIGHT_RETRY_NANOS,
+                                mGate.carriedUntilNanos(nowNanos));
+                return new Admission.Refused(RefusalReason.CAP_IN_FLIGHT, mCap.name(), retryAt);
+            }
+            return null;
+        }
+
+        void take(long nowNanos) {
+            if (mArrivals != null) {
+                mArrivals.tryTake(nowNanos);
+            }
+            mGate.tryEnter(nowNanos);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/routing/SiteConfig.java
@@ -0,0 +1,35 @@
+package org.redwingladder.routing;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+
+/**
+ * Holds what the settings say about a site.
+ *
+ * @param service the site's service
+ * @param maxRequestNanos the longest time that a request may take
+ * @param rampNanos how long a cold backend server takes to warm up; 0 for no ramp
+ * @param longSlotsPercent the share of the slots that long work may hold at most
+ * @param backends the site's backend servers
+ */
+public record SiteConfig(
+        String service,
+        long maxRequestNanos,
+        long rampNanos,
+        int longSlotsPercent,
+        List<BackendSpec> backends) {
+
+    /**
+     * Checks the values.
+     *
+     * @throws IllegalArgumentException if the percentage is not 0 to 100
+     */
+    public SiteConfig {
+        requireNonNull(service, "service");
+        if (longSlotsPercent < 0 || longSlotsPercent > 100) {
+            throw new IllegalArgumentException("longSlotsPercent: " + longSlotsPercent);
+        }
+        backends = List.copyOf(backends);
+    }
+}
