--- /dev/null
+++ b/core/src/main/java/org/redwingladder/once/StoredOutcome.java
@@ -0,0 +1,52 @@
+package org.redwingladder.once;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the answer of work that ran, so that a repeated request gets the same one.
+ *
+ * @param status the HTTP status
+ * @param headers the headers worth repeating
+ * @param body the whole body
+ */
+public record StoredOutcome(int status, SortedMap<String, String> headers, byte[] body) {
+    /** Limits the body; a longer answer is delivered once and not remembered. */
+    public static final int MAX_BODY = 64 * 1024;
+
+    public StoredOutcome {
+        headers = Collections.unmodifiableSortedMap(new TreeMap<>(headers));
+        body = body.clone();
+    }
+
+    /** Returns an outcome with a copy of {@code headers} and {@code body}. */
+    public static StoredOutcome of(int status, Map<String, String> headers, byte[] body) {
+        return new StoredOutcome(status, new TreeMap<>(headers), body);
+    }
+
+    /** Returns the bytes that this outcome takes in memory, roughly. */
+    long bytes() {
+        long bytes = body.length;
+        for (Map.Entry<String, String> header : headers.entrySet()) {
+            bytes += 2L * (header.getKey().length() + header.getValue().length());
+        }
+        return bytes;
+    }
+
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return other instanceof StoredOutcome o
+                && status == o.status
+                && headers.equals(o.headers)
+                && Arrays.equals(body, o.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * status + headers.hashCode()) + Arrays.hashCode(body);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/once/TokenSigner.java
@@ -0,0 +1,95 @@
+package org.redwingladder.once;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Base64;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/** Signs tokens with HMAC-SHA256 and checks the signatures. Safe for use by several threads. */
+public final class TokenSigner {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int MAX_LENGTH = 1024;
+
+    private final SecretKeySpec mKey;
+
+    private TokenSigner(SecretKeySpec key) {
+        mKey = key;
+    }
+
+    /**
+     * Returns a signer that uses {@code key}.
+     *
+     * @throws IllegalArgumentException if the key is shorter than 16 bytes
+     */
+    public static TokenSigner of(byte[] key) {
+        if (key.length < 16) {
+            throw new IllegalArgumentException(
+                    "token key has " + key.length + " bytes; allowed: 16 or more");
+        }
+        return new TokenSigner(new SecretKeySpec(key, ALGORITHM));
+    }
+
+    /** Returns {@code token} in the form that clients carry. */
+    public String sign(Token token) {
+        String payload =
+                String.join(
+                        "\n",
+                        token.host(),
+                        Long.toString(token.incarnation()),
+                        Long.toString(token.number()),
+                        token.service(),
+                        Long.toString(token.expiresAt()));
+        byte[] bytes = payload.getBytes(StandardCharsets.UTF_8);
+        Base64.Encoder encoder = Base64.getUrlEncoder().withoutPadding();
+        return encoder.encodeToString(bytes) + "." + encoder.encodeToString(mac(bytes));
+    }
+
+    /**
+     * Returns the token that {@code text} carries.
+     *
+     * @throws TokenException if the text is malformed or its signature is wrong
+     */
+    public Token verify(String text) throws TokenException {
+        int dot = text.indexOf('.');
+        if (dot < 0 || text.length() > MAX_LENGTH) {
+            throw new TokenException("the token is not of the form PAYLOAD.SIGNATURE");
+        }
+        byte[] payload;
+        byte[] signature;
+        try {
+            payload = Base64.getUrlDecoder().decode(text.substring(0, dot));
+            signature = Base64.getUrlDecoder().decode(text.substring(dot + 1));
+        } catch (IllegalArgumentException e) {
+            throw new TokenException("the token is not base64url");
+        }
+        if (!MessageDigest.isEqual(signature, mac(payload))) {
+            throw new TokenException("the token is not signed with the key of this deployment");
+        }
+        String[] parts = new String(payload, StandardCharsets.UTF_8).split("\n", -1);
+        if (parts.length != 5) {
+            throw new TokenException("the token has " + parts.length + " fields; allowed: 5");
+        }
+        try {
+            return new Token(
+                    parts[0],
+                    Long.parseLong(parts[1]),
+                    Long.parseLong(parts[2]),
+                    parts[3],
+                    Long.parseLong(parts[4]));
+        } catch (NumberFormatException e) {
+            throw new TokenException("the token holds a malformed number");
+        }
+    }
+
+    private byte[] mac(byte[] payload) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(mKey);
+            return mac.doFinal(payload);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("the JDK lacks " + ALGORITHM, e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/Change.java
@@ -0,0 +1,29 @@
+package org.redwingladder.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Records one accepted change of the settings.
+ *
+ * @param version the settings version that the change makes
+ * @param changeId the operator's name for the change
+ * @param team the team that made it
+ * @param path the JSON pointer of the replaced value
+ * @param value the new value, or null if the value is removed
+ * @param author who made it
+ * @param acceptedAt when it was accepted, in epoch milliseconds
+ */
+public record Change(
+        long version,
+        String changeId,
+        String team,
+        String path,
+        @Nullable JsonNode value,
+        String author,
+        long acceptedAt) {
+
+    public Change {
+        value = value == null || value.isNull() ? null : value.deepCopy();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/Settings.java
@@ -0,0 +1,179 @@
+package org.redwingladder.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds a whole settings document, which never changes.
+ *
+ * <p>The names of services, backend servers and caps are unique over all teams; {@link
+ * SettingsValidator} checks it.
+ */
+public final class Settings {
+    private final Deployment mDeployment;
+    private final SortedMap<String, TeamSettings> mTeams;
+    private final SortedMap<String, String> mRegionsByZone;
+    private final SortedMap<String, Service> mServices;
+    private final SortedMap<String, BackendServer> mBackendServers;
+    private final SortedMap<String, Cap> mCaps;
+    private final Map<Site, SortedMap<String, BackendServer>> mBackendsBySite;
+    private final Map<String, Double> mMillis;
+
+    private Settings(Deployment deployment, Map<String, TeamSettings> teams) {
+        mDeployment = requireNonNull(deployment, "deployment");
+        mTeams = Deployment.sorted(teams);
+        SortedMap<String, String> zones = new TreeMap<>();
+        deployment
+                .regions()
+                .forEach((name, region) -> region.zones().forEach(z -> zones.put(z, name)));
+        mRegionsByZone = Collections.unmodifiableSortedMap(zones);
+        SortedMap<String, Service> services = new TreeMap<>();
+        SortedMap<String, BackendServer> backends = new TreeMap<>();
+        SortedMap<String, Cap> caps = new TreeMap<>();
+        for (TeamSettings team : mTeams.values()) {
+            services.putAll(team.services());
+            backends.putAll(team.backendServers());
+            caps.putAll(team.caps());
+        }
+        mServices = Collections.unmodifiableSortedMap(services);
+        mBackendServers = Collections.unmodifiableSortedMap(backends);
+        mCaps = Collections.unmodifiableSortedMap(caps);
+        Map<Site, SortedMap<String, BackendServer>> bySite = new HashMap<>();
+        backends.forEach(
+                (name, b) ->
+                        bySite.computeIfAbsent(
+                                        new Site(b.service(), b.zone()), s -> new TreeMap<>())
+                                .put(name, b));
+        mBackendsBySite = bySite;
+        Map<String, Double> millis = new HashMap<>();
+        for (Distance d : deployment.distances().values()) {
+            if (d.between().size() == 2) {
+                millis.put(pair(d.between().get(0), d.between().get(1)), d.oneWayMillis());
+            }
+        }
+        mMillis = millis;
+    }
+
+    /** Returns settings made of {@code deployment} and {@code teams}. */
+    public static Settings of(Deployment deployment, Map<String, TeamSettings> teams) {
+        return new Settings(deployment, teams);
+    }
+
+    /** Returns the part that belongs to the deployment's own team. */
+    public Deployment deployment() {
+        return mDeployment;
+    }
+
+    /** Returns the part of each team, by team. */
+    public SortedMap<String, TeamSettings> teams() {
+        return mTeams;
+    }
+
+    /** Returns the number of client blocks. */
+    @JsonIgnore
+    public int blockCount() {
+        return mDeployment.blockCount();
+    }
+
+    /** Returns how long a look-up answer may be used, in milliseconds. */
+    @JsonIgnore
+    public long lookupLifetimeMillis() {
+        return mDeployment.lookupLifetimeMillis();
+    }
+
+    /** Returns the regions, by name. */
+    @JsonIgnore
+    public SortedMap<String, Region> regions() {
+        return mDeployment.regions();
+    }
+
+    /** Returns the names of all zones. */
+    public SortedSet<String> zones() {
+        return new TreeSet<>(mRegionsByZone.keySet());
+    }
+
+    /** Returns the region of {@code zone}, or null if the zone is unknown. */
+    public @Nullable String regionOf(String zone) {
+        return mRegionsByZone.get(zone);
+    }
+
+    /** Returns the links between regions, by name. */
+    public SortedMap<String, Link> links() {
+        return mDeployment.links();
+    }
+
+    /** Returns all services, by name. */
+    public SortedMap<String, Service> services() {
+        return mServices;
+    }
+
+    /** Returns all backend servers, by name. */
+    public SortedMap<String, BackendServer> backendServers() {
+        return mBackendServers;
+    }
+
+    /** Returns all caps, by name. */
+    public SortedMap<String, Cap> caps() {
+        return mCaps;
+    }
+
+    /** Returns the backend servers of {@code site}, by name. */
+    public SortedMap<String, BackendServer> backendServers(Site site) {
+        SortedMap<String, BackendServer> found = mBackendsBySite.get(site);
+        return found == null ? new TreeMap<>() : Collections.unmodifiableSortedMap(found);
+    }
+
+    /** Returns all sites in order of service and zone. */
+    public List<Site> sites() {
+        List<Site> sites = new ArrayList<>();
+        mServices.forEach(
+                (name, s) -> s.zones().keySet().forEach(z -> sites.add(new Site(name, z))));
+        return sites;
+    }
+
+    /** Returns whether {@code scope} (a zone, a region or {@code any}) holds {@code zone}. */
+    public boolean covers(String scope, String zone) {
+        return scope.equals(Cap.ANY)
+                || scope.equals(zone)
+                || scope.equals(mRegionsByZone.get(zone));
+    }
+
+    /**
+     * Returns the one-way latency between two regions in milliseconds, 0 inside a region without a
+     * stated distance, and infinity between regions without one.
+     */
+    public double oneWayMillis(String regionA, String regionB) {
+        Double millis = mMillis.get(pair(regionA, regionB));
+        if (millis != null) {
+            return millis;
+        }
+        return regionA.equals(regionB) ? 0 : Double.POSITIVE_INFINITY;
+    }
+
+    private static String pair(String a, String b) {
+        return a.compareTo(b) <= 0 ? a + ' ' + b : b + ' ' + a;
+    }
+
+    @Override
+    public boolean equals(@Nullable Object other) {
+        return other instanceof Settings s
+                && mDeployment.equals(s.mDeployment)
+                && mTeams.equals(s.mTeams);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * mDeployment.hashCode() + mTeams.hashCode();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/SettingsOrder.java
@@ -0,0 +1,131 @@
+package org.redwingladder.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+/**
+ * Brings changes and snapshots into their accepted order.
+ *
+ * <p>The version only rises: a change is applied when it follows the current version, an older one
+ * is ignored, and a newer one reports the gap. A snapshot is taken only if it is newer. Not safe
+ * for use by several threads.
+ */
+public final class SettingsOrder {
+
+    /** Tells what became of a change or snapshot. */
+    public sealed interface Result {
+        /**
+         * Tells that the version rose.
+         *
+         * @param tree the tree now in force
+         */
+        record Applied(SettingsTree tree) implements Result {}
+
+        /** Tells that the change or snapshot is not newer than the version in force. */
+        record NotNewer() implements Result {}
+
+        /**
+         * Tells that changes are missing.
+         *
+         * @param after the version in force
+         * @param before the version of the change that was offered
+         */
+        record Gap(long after, long before) implements Result {}
+
+        /**
+         * Tells that the document would not be valid, so that the version stays.
+         *
+         * @param errors all errors
+         */
+        record Rejected(List<SettingsError> errors) implements Result {}
+    }
+
+    private final int mHistoryLimit;
+    private final NavigableMap<Long, Settings> mHistory = new TreeMap<>();
+    private final NavigableMap<Long, Change> mChanges = new TreeMap<>();
+    private SettingsTree mTree = SettingsTree.empty();
+
+    private SettingsOrder(int historyLimit) {
+        mHistoryLimit = historyLimit;
+    }
+
+    /** Returns an order at version 0 that keeps the last {@code historyLimit} versions. */
+    public static SettingsOrder create(int historyLimit) {
+        return new SettingsOrder(historyLimit);
+    }
+
+    /** Returns the tree in force. */
+    public SettingsTree tree() {
+        return mTree;
+    }
+
+    /** Returns the version in force; 0 means that there are no settings yet. */
+    public long version() {
+        return mTree.version();
+    }
+
+    /** Returns the settings of the last versions, by version; the last one is in force. */
+    public NavigableMap<Long, Settings> history() {
+        return new TreeMap<>(mHistory);
+    }
+
+    /** Applies {@code change} if it follows the version in force. */
+    public Result accept(Change change) {
+        if (change.version() <= version()) {
+            return new Result.NotNewer();
+        }
+        if (change.version() > version() + 1) {
+            return new Result.Gap(version(), change.version());
+        }
+        try {
+            SettingsTree next = mTree.apply(change);
+            Settings settings = next.settings();
+            enter(next, settings);
+            mChanges.put(change.version(), change);
+            while (mChanges.size() > mHistoryLimit) {
+                mChanges.pollFirstEntry();
+            }
+            return new Result.Applied(next);
+        } catch (SettingsException e) {
+            return new Result.Rejected(e.errors());
+        }
+    }
+
+    /** Takes {@code snapshot} if it is newer than the version in force. */
+    public Result accept(SettingsTree snapshot) {
+        if (snapshot.version() <= version()) {
+            return new Result.NotNewer();
+        }
+        try {
+            Settings settings = snapshot.settings();
+            // The versions in between are unknown, so the kept ones no longer form one sequence.
+            mHistory.clear();
+            mChanges.clear();
+            enter(snapshot, settings);
+            return new Result.Applied(snapshot);
+        } catch (SettingsException e) {
+            return new Result.Rejected(e.errors());
+        }
+    }
+
+    /**
+     * Returns the kept changes after {@code version} in order, or an empty list if the next one is
+     * no longer kept.
+     */
+    public List<Change> changesAfter(long version) {
+        if (!mChanges.containsKey(version + 1)) {
+            return List.of();
+        }
+        return new ArrayList<>(mChanges.tailMap(version, false).values());
+    }
+
+    private void enter(SettingsTree tree, Settings settings) {
+        mTree = tree;
+        mHistory.put(tree.version(), settings);
+        while (mHistory.size() > mHistoryLimit) {
+            mHistory.pollFirstEntry();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/TeamSettings.java
@@ -0,0 +1,22 @@
+package org.redwingladder.settings;
+
+import java.util.SortedMap;
+
+/**
+ * Holds the part of the settings that belongs to one team.
+ *
+ * @param services the team's services, by name
+ * @param backendServers the backend servers of these services, by name
+ * @param caps the caps of these services, by name
+ */
+public record TeamSettings(
+        SortedMap<String, Service> services,
+        SortedMap<String, BackendServer> backendServers,
+        SortedMap<String, Cap> caps) {
+
+    public TeamSettings {
+        services = Deployment.sorted(services);
+        backendServers = Deployment.sorted(backendServers);
+        caps = Deployment.sorted(caps);
+    }
+}
