Add the records and signatures of membership

Other packages need the roster, its messages and the effects of the roster machine before its logic exists.

--- /dev/null
+++ b/core/src/main/java/org/redwingladder/membership/RosterRow.java
@@ -0,0 +1,9 @@
+package org.redwingladder.membership;
+
+/**
+ * Holds a roster with the version of its row in the platform's table.
+ *
+ * @param version the version of the row
+ * @param roster the value of the row
+ */
+public record RosterRow(long version, Roster roster) {}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/membership/ZoneDirectory.java
@@ -0,0 +1,83 @@
+package org.redwingladder.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Holds the latest known summary of each availability zone. Safe for use by several threads. */
+public final class ZoneDirectory {
+    private volatile Map<String, ZoneSummary> mSummaries = Map.of();
+
+    private ZoneDirectory() {}
+
+    /** Returns an empty directory. */
+    public static ZoneDirectory create() {
+        return new ZoneDirectory();
+    }
+
+    /** Returns the summary of {@code zone}, if one is known. */
+    public @Nullable ZoneSummary zone(String zone) {
+        return mSummaries.get(zone);
+    }
+
+    /** Returns all summaries in the order of the zones' names. */
+    public List<ZoneSummary> zones() {
+        return List.copyOf(mSummaries.values());
+    }
+
+    /** Returns the owner of a service's site in {@code zone}, as far as is known. */
+    public @Nullable Member ownerOf(String zone, String service) {
+        ZoneSummary summary = mSummaries.get(zone);
+        return summary == null ? null : Ownership.ownerOf(summary.members(), service);
+    }
+
+    /** Returns what another directory compares with its own summaries. */
+    public Map<String, ZoneDigest> digests() {
+        Map<String, ZoneDigest> digests = new TreeMap<>();
+        mSummaries.forEach((zone, summary) -> digests.put(zone, summary.digest()));
+        return digests;
+    }
+
+    /** Returns the summaries that a directory with {@code digests} lacks. */
+    public List<ZoneSummary> newerThan(Map<String, ZoneDigest> digests) {
+        List<ZoneSummary> newer = new ArrayList<>();
+        for (ZoneSummary summary : mSummaries.values()) {
+            ZoneDigest known = digests.getOrDefault(summary.zone(), ZoneDigest.NONE);
+            if (summary.digest().compareTo(known) > 0) {
+                newer.add(summary);
+            }
+        }
+        return newer;
+    }
+
+    /**
+     * Takes over summaries that are newer than the known ones.
+     *
+     * @return whether any was taken over
+     */
+    public synchronized boolean merge(Collection<ZoneSummary> summaries) {
+        Map<String, ZoneSummary> merged = new TreeMap<>(mSummaries);
+        boolean changed = false;
+        for (ZoneSummary summary : summaries) {
+            ZoneSummary known = merged.get(summary.zone());
+            if (known == null || summary.digest().compareTo(known.digest()) > 0) {
+                merged.put(summary.zone(), summary);
+                changed = true;
+            }
+        }
+        if (changed) {
+            mSummaries = java.util.Collections.unmodifiableMap(merged);
+        }
+        return changed;
+    }
+
+    /** Drops the zones that are not in {@code zones}, after they were taken from the settings. */
+    public synchronized void retain(Collection<String> zones) {
+        Map<String, ZoneSummary> retained = new TreeMap<>(mSummaries);
+        retained.keySet().retainAll(zones);
+        mSummaries = java.util.Collections.unmodifiableMap(retained);
+    }
+}
