Add the platform stand-in

The daemon, the tool and the tests need a table, an object store and a host list that fail on demand.

--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/PlatformServer.java
@@ -0,0 +1,270 @@
+package org.redwingladder.standin;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+import org.xnio.XnioWorker;
+
+/**
+ * Serves the platform's table, objects and host list over HTTP, with faults on demand.
+ *
+ * <p>The state is kept in memory and survives every fault, but not {@link #close}.
+ */
+public final class PlatformServer implements AutoCloseable {
+    private final XnioWorker mWorker;
+    private final List<HttpListener> mListeners = new ArrayList<>();
+    private final PlatformTable mTable = new PlatformTable();
+    private final ConcurrentMap<String, byte[]> mObjects = new ConcurrentHashMap<>();
+    private final HostDirectory mHosts;
+    private final RateLimit mReadLimit;
+    private final RateLimit mWriteLimit;
+    private final PlatformHandler mHandler = new PlatformHandler(this);
+    private final List<HttpServerExchange> mHeld = new ArrayList<>();
+    private final AtomicInteger mAnswersToLose = new AtomicInteger();
+    private final LongAdder mReads = new LongAdder();
+    private final LongAdder mWrites = new LongAdder();
+    private final LongAdder mConflicts = new LongAdder();
+    private final LongAdder mLost = new LongAdder();
+    private final LongAdder mRefused = new LongAdder();
+    private final LongAdder mThrottled = new LongAdder();
+    private volatile PlatformFaults mFaults = PlatformFaults.NONE;
+    private volatile @Nullable Stale mStale;
+
+    /** Holds what readers see while reads or the host list are stale. */
+    private record Stale(
+            @Nullable PlatformTable table,
+            ConcurrentMap<String, byte[]> objects,
+            HostDirectory.@Nullable HostList hosts) {}
+
+    private PlatformServer(PlatformOptions options) throws IOException {
+        mHosts = new HostDirectory(options.hostsLagMillis());
+        mReadLimit = new RateLimit(options.readsPerSecond());
+        mWriteLimit = new RateLimit(options.writesPerSecond());
+        mWorker = HttpListener.newWorker("platform", 2);
+        for (int port : options.ports()) {
+            mListeners.add(HttpListener.open(mWorker, options.ip(), port, this::handle));
+        }
+    }
+
+    /** Starts a platform on a port that the kernel chooses. */
+    public static PlatformServer start() throws IOException {
+        return start(PlatformOptions.DEFAULT);
+    }
+
+    /**
+     * Starts a platform.
+     *
+     * @throws IOException if a port cannot be bound
+     */
+    public static PlatformServer start(PlatformOptions options) throws IOException {
+        return new PlatformServer(options);
+    }
+
+    /** Returns the first listener's address as {@code ip:port}. */
+    public String address() {
+        return mListeners.get(0).addressText();
+    }
+
+    /** Returns the first listener's address. */
+    public InetSocketAddress socketAddress() {
+        return mListeners.get(0).address();
+    }
+
+    /** Returns the addresses of all listeners as {@code ip:port}. */
+    public List<String> addresses() {
+        return mListeners.stream().map(HttpListener::addressText).toList();
+    }
+
+    /** Returns the table, which tests may read and write past all faults. */
+    public PlatformTable table() {
+        return mTable;
+    }
+
+    /** Returns the host list. */
+    public HostDirectory hosts() {
+        return mHosts;
+    }
+
+    /** Replaces the host list; the change shows after the lag. */
+    public void replaceHosts(List<HostDirectory.Host> hosts) {
+        mHosts.replace(hosts, System.currentTimeMillis());
+    }
+
+    /** Returns the faults in force. */
+    public PlatformFaults faults() {
+        return mFaults;
+    }
+
+    /** Replaces the faults in force; requests held by {@code frozen} go on when it ends. */
+    public void inject(PlatformFaults faults) {
+        PlatformFaults before = mFaults;
+        keepStaleView(before, faults);
+        mAnswersToLose.set(faults.loseAnswersAfterWrite());
+        mFaults = faults;
+        if (!faults.frozen()) {
+            releaseHeld();
+        }
+    }
+
+    /** Returns the counters. */
+    public PlatformStats stats() {
+        return new PlatformStats(
+                mReads.sum(),
+                mWrites.sum(),
+                mConflicts.sum(),
+                mLost.sum(),
+                mRefused.sum(),
+                mThrottled.sum(),
+                mTable.rows("", 0, Integer.MAX_VALUE).size());
+    }
+
+    @Override
+    public void close() {
+        mListeners.forEach(HttpListener::close);
+        mWorker.shutdownNow();
+    }
+
+    /** Returns the table that readers see. */
+    PlatformTable visibleTable() {
+        Stale stale = mStale;
+        return stale == null || stale.table() == null ? mTable : stale.table();
+    }
+
+    byte @Nullable [] visibleObject(String name) {
+        Stale stale = mStale;
+        boolean live = stale == null || stale.table() == null;
+        return (live ? mObjects : stale.objects()).get(name);
+    }
+
+    void putObject(String name, byte[] content) {
+        mObjects.put(name, content);
+    }
+
+    HostDirectory.HostList visibleHosts() {
+        Stale stale = mStale;
+        return stale == null || stale.hosts() == null
+                ? mHosts.visible(System.currentTimeMillis())
+                : stale.hosts();
+    }
+
+    void countConflict() {
+        mConflicts.increment();
+    }
+
+    /** Counts a read; sends a refusal and returns false if it is above the platform's rate. */
+    boolean admitRead(HttpServerExchange exchange) {
+        mReads.increment();
+        return admit(exchange, mReadLimit);
+    }
+
+    /** Counts a write; sends a refusal and returns false if it is above the platform's rate. */
+    boolean admitWrite(HttpServerExchange exchange) {
+        mWrites.increment();
+        return admit(exchange, mWriteLimit);
+    }
+
+    /** Sends the answer to a read after the configured delay. */
+    void answer(HttpServerExchange exchange, HttpHandler sender) {
+        long delay = mFaults.delayMillis();
+        if (delay > 0) {
+            Exchanges.later(exchange, delay, sender);
+        } else {
+            Exchanges.run(exchange, sender);
+        }
+    }
+
+    /** Sends or loses the answer to a write that has taken effect. */
+    void answerWrite(HttpServerExchange exchange, HttpHandler sender) {
+        int left = mAnswersToLose.getAndUpdate(n -> n > 0 ? n - 1 : n);
+        if (left != 0) {
+            mLost.increment();
+            answer(exchange, Exchanges::drop);
+        } else {
+            answer(exchange, sender);
+        }
+    }
+
+    private void handle(HttpServerExchange exchange) throws Exception {
+        if (exchange.getRequestPath().startsWith("/admin/")) {
+            mHandler.admin(exchange);
+            return;
+        }
+        PlatformFaults faults = mFaults;
+        if (faults.down() || isRefused(faults, exchange)) {
+            mRefused.increment();
+            Exchanges.drop(exchange);
+        } else if (faults.frozen()) {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> hold(exchange));
+        } else {
+            mHandler.handleRequest(exchange);
+        }
+    }
+
+    private void hold(HttpServerExchange exchange) {
+        synchronized (mHeld) {
+            mHeld.add(exchange);
+        }
+        if (!mFaults.frozen()) {
+            releaseHeld();
+        }
+    }
+
+    private void releaseHeld() {
+        List<HttpServerExchange> held;
+        synchronized (mHeld) {
+            held = List.copyOf(mHeld);
+            mHeld.clear();
+        }
+        for (HttpServerExchange exchange : held) {
+            exchange.getIoThread().execute(() -> Exchanges.run(exchange, this::handle));
+        }
+    }
+
+    private void keepStaleView(PlatformFaults before, PlatformFaults after) {
+        Stale stale = mStale;
+        PlatformTable table = stale == null ? null : stale.table();
+        HostDirectory.HostList hosts = stale == null ? null : stale.hosts();
+        ConcurrentMap<String, byte[]> objects = stale == null ? mObjects : stale.objects();
+        if (!after.staleReads()) {
+            table = null;
+        } else if (!before.staleReads() || table == null) {
+            table = mTable.snapshot();
+            objects = new ConcurrentHashMap<>(mObjects);
+        }
+        if (!after.staleHosts()) {
+            hosts = null;
+        } else if (hosts == null) {
+            hosts = mHosts.visible(System.currentTimeMillis());
+        }
+        mStale = new Stale(table, objects, hosts);
+    }
+
+    private boolean admit(HttpServerExchange exchange, RateLimit limit) {
+        if (limit.tryTake(System.nanoTime())) {
+            return true;
+        }
+        mThrottled.increment();
+        Exchanges.sendError(exchange, 429, "throttled", "The platform's rate is exhausted.");
+        return false;
+    }
+
+    private static boolean isRefused(PlatformFaults faults, HttpServerExchange exchange) {
+        List<String> refused = faults.refuseFrom();
+        if (refused == null || refused.isEmpty()) {
+            return false;
+        }
+        InetSocketAddress peer = exchange.getSourceAddress();
+        InetSocketAddress local = exchange.getDestinationAddress();
+        return refused.contains(peer.getAddress().getHostAddress())
+                || refused.contains(local.getAddress().getHostAddress() + ":" + local.getPort());
+    }
+}
