--- a/daemon/src/main/java/org/redwingladder/request/ClusterView.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClusterView.java
@@ -4,7 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.redwingladder.api.EntryHost;
+import org.redwingladder.api.LookupAnswer;
 
 /**
  * Shows the request path the state of the cluster as this host knows it.
@@ -26,9 +26,6 @@
     /** Returns the number of client blocks. */
     int blockCount();
 
-    /** Returns how long a look-up answer may be used, in milliseconds. */
-    long lookupLifetimeMillis();
-
     /** Returns what the settings in force say about a service; null if they do not name it. */
     @Nullable ServiceSpec service(String name);
 
@@ -38,8 +35,8 @@
      */
     List<String> sitesInOrder(String service, int block);
 
-    /** Returns the entry hosts that a look-up answers with, best first. */
-    List<EntryHost> entryHosts(String service, int block);
+    /** Returns the answer to a look-up, without a token; null if the service is unknown. */
+    @Nullable LookupAnswer lookup(String service, int block, long nowMillis);
 
     /** Returns the owner of a site; null if none is known. */
     @Nullable Peer ownerOf(String zone, String service);
@@ -69,7 +66,7 @@
      * @param incarnation names this start of the process
      * @param zone the host's availability zone
      */
-    record Self(String host, String incarnation, String zone) {}
+    record Self(String host, long incarnation, String zone) {}
 
     /**
      * Names another entry host, or this one.
@@ -79,7 +76,7 @@
      * @param zone the host's availability zone
      * @param peerAddress the host's peer listener
      */
-    record Peer(String host, String incarnation, String zone, InetSocketAddress peerAddress) {}
+    record Peer(String host, long incarnation, String zone, InetSocketAddress peerAddress) {}
 
     /**
      * Tells whether this host may take requests.
--- a/daemon/src/main/java/org/redwingladder/request/ServiceSpec.java
+++ b/daemon/src/main/java/org/redwingladder/request/ServiceSpec.java
@@ -1,15 +1,18 @@
 package org.redwingladder.request;
 
+import static java.util.Comparator.comparingInt;
+
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.routing.WorkClass;
+import org.redwingladder.settings.Service;
 
 /**
  * Holds what an ingress needs to know about a service.
  *
  * @param name the service's name
  * @param maxRequestMillis the longest time that a request may take
- * @param classes the classes that the settings state, the first match counts
+ * @param classes the classes that the settings state, longest prefix first
  */
 public record ServiceSpec(String name, long maxRequestMillis, List<ClassRule> classes) {
 
@@ -21,8 +24,26 @@
      */
     public record ClassRule(String pathPrefix, WorkClass workClass) {}
 
+    /** Sorts the classes, so that the longest matching prefix counts. */
     public ServiceSpec {
-        classes = List.copyOf(classes);
+        classes =
+                classes.stream()
+                        .sorted(comparingInt((ClassRule rule) -> -rule.pathPrefix().length()))
+                        .toList();
+    }
+
+    /** Returns the specification of a service in the settings. */
+    public static ServiceSpec of(String name, Service service) {
+        return new ServiceSpec(
+                name,
+                service.maxRequestMillis(),
+                service.classes().values().stream()
+                        .map(
+                                rule ->
+                                        new ClassRule(
+                                                rule.pathPrefix(),
+                                                WorkClass.valueOf(rule.workClass().name())))
+                        .toList());
     }
 
     /** Returns the class that the settings state for a path; null if it has to be learned. */
--- a/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
@@ -1,10 +1,21 @@
 package org.redwingladder.request;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.redwingladder.http.Addresses;
 import org.redwingladder.limits.SiteCap;
+import org.redwingladder.routing.BackendSpec;
 import org.redwingladder.routing.SiteConfig;
+import org.redwingladder.settings.BackendState;
+import org.redwingladder.settings.CapParts;
+import org.redwingladder.settings.Service;
+import org.redwingladder.settings.Settings;
+import org.redwingladder.settings.Site;
 
 /**
  * Holds what the owner of a site needs to know about it.
@@ -25,10 +36,77 @@
         Map<String, Long> bitsPerSecondByRegion,
         long carriedOverUntilNanos) {
 
+    /** Copies the collections. */
     public SiteSpec {
         addresses = Map.copyOf(addresses);
         regionOfZone = Map.copyOf(regionOfZone);
         caps = List.copyOf(caps);
         bitsPerSecondByRegion = Map.copyOf(bitsPerSecondByRegion);
     }
+
+    /**
+     * Returns the specification of a site.
+     *
+     * @param settings the settings in force
+     * @param site the site
+     * @param parts the parts of caps and links that the site may use
+     * @param leaving the backend servers that the platform's list marks as leaving
+     * @param carriedOverUntilNanos until when a former owner's work counts as running
+     * @throws IllegalArgumentException if the settings do not name the service
+     */
+    public static SiteSpec of(
+            Settings settings,
+            Site site,
+            CapParts parts,
+            Set<String> leaving,
+            long carriedOverUntilNanos) {
+        Service service = settings.services().get(site.service());
+        if (service == null) {
+            throw new IllegalArgumentException("unknown service " + site.service());
+        }
+        List<BackendSpec> backends = new ArrayList<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        settings.backendServers(site)
+                .forEach(
+                        (name, backend) -> {
+                            boolean draining =
+                                    backend.state() == BackendState.DRAINING
+                                            || leaving.contains(name);
+                            backends.add(
+                                    new BackendSpec(
+                                            name,
+                                            backend.slots(),
+                                            backend.connections(),
+                                            draining));
+                            addresses.put(name, Addresses.parse(backend.address()));
+                        });
+        SiteConfig config =
+                new SiteConfig(
+                        site.service(),
+                        TimeUnit.MILLISECONDS.toNanos(service.maxRequestMillis()),
+                        TimeUnit.MILLISECONDS.toNanos(service.rampMillis()),
+                        service.longSlotsPercent(),
+                        backends);
+        Map<String, String> regions = new HashMap<>();
+        settings.regions()
+                .forEach((name, region) -> region.zones().forEach(zone -> regions.put(zone, name)));
+        Map<String, Long> bits = new HashMap<>();
+        parts.links().forEach(link -> bits.merge(link.to(), link.bitsPerSecond(), Long::sum));
+        return new SiteSpec(config, addresses, regions, caps(parts), bits, carriedOverUntilNanos);
+    }
+
+    private static List<SiteCap> caps(CapParts parts) {
+        List<SiteCap> caps = new ArrayList<>();
+        for (CapParts.CapPart part : parts.caps()) {
+            Long rate = part.requestsPerSecond();
+            Integer inFlight = part.inFlight();
+            caps.add(
+                    new SiteCap(
+                            part.cap(),
+                            part.from(),
+                            rate == null ? SiteCap.UNLIMITED : rate,
+                            inFlight == null ? SiteCap.UNLIMITED : inFlight));
+        }
+        return caps;
+    }
 }
