--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/BackendAttempt.java
@@ -0,0 +1,86 @@
+package org.redwingladder.request;
+
+import io.undertow.util.HeaderMap;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.http.AnswerHandler;
+import org.redwingladder.http.Call;
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+
+/**
+ * Holds one attempt at a backend server. Its fields are used only by the owner's serial queue; the
+ * results of the call are put into that queue.
+ */
+final class BackendAttempt implements AnswerHandler {
+    private final SiteOwner mOwner;
+    private final OwnedRequest mRequest;
+    private final long mNumber;
+    private final String mBackend;
+    private @Nullable Call mCall;
+    private @Nullable WholeAnswer mWhole;
+    private @Nullable StreamedAnswer mStreamed;
+
+    BackendAttempt(SiteOwner owner, OwnedRequest request, long number, String backend) {
+        mOwner = owner;
+        mRequest = request;
+        mNumber = number;
+        mBackend = backend;
+    }
+
+    OwnedRequest request() {
+        return mRequest;
+    }
+
+    long number() {
+        return mNumber;
+    }
+
+    String backend() {
+        return mBackend;
+    }
+
+    @Nullable Call call() {
+        return mCall;
+    }
+
+    void call(Call call) {
+        mCall = call;
+    }
+
+    @Nullable WholeAnswer wholeAnswer() {
+        return mWhole;
+    }
+
+    @Nullable StreamedAnswer streamedAnswer() {
+        return mStreamed;
+    }
+
+    @Override
+    public void whole(WholeAnswer answer) {
+        mOwner.run(
+                () -> {
+                    mWhole = answer;
+                    mOwner.answered(this, answer.status(), answer.headers());
+                });
+    }
+
+    @Override
+    public void streamed(StreamedAnswer answer) {
+        mOwner.run(
+                () -> {
+                    mStreamed = answer;
+                    mOwner.answerBegan(this, answer);
+                });
+    }
+
+    @Override
+    public void failed(CallException cause) {
+        mOwner.run(() -> mOwner.failed(this, cause));
+    }
+
+    /** Returns whether an answer says that the work was certainly not run. */
+    static boolean isShed(int status, HeaderMap headers) {
+        return status == 503 && "true".equals(headers.getFirst(WireHeaders.NOT_RUN));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/OwnedRequest.java
@@ -0,0 +1,46 @@
+package org.redwingladder.request;
+
+import org.redwingladder.routing.SiteRequest;
+
+/** Holds a request while its site's owner has it. Used only by the owner's serial queue. */
+final class OwnedRequest {
+    private final InboundRequest mInbound;
+    private final SiteRequest mSiteRequest;
+    private final AnswerSink mSink;
+    private final Explanation mExplanation;
+    private boolean mDecided;
+
+    OwnedRequest(
+            InboundRequest inbound,
+            SiteRequest siteRequest,
+            AnswerSink sink,
+            Explanation explanation) {
+        mInbound = inbound;
+        mSiteRequest = siteRequest;
+        mSink = sink;
+        mExplanation = explanation;
+    }
+
+    InboundRequest inbound() {
+        return mInbound;
+    }
+
+    SiteRequest siteRequest() {
+        return mSiteRequest;
+    }
+
+    AnswerSink sink() {
+        return mSink;
+    }
+
+    Explanation explanation() {
+        return mExplanation;
+    }
+
+    /** Returns true once, for the caller that gives the only final answer. */
+    boolean decide() {
+        boolean first = !mDecided;
+        mDecided = true;
+        return first;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/RequestParts.java
@@ -0,0 +1,22 @@
+package org.redwingladder.request;
+
+import java.util.random.RandomGenerator;
+import org.redwingladder.http.HttpCaller;
+
+/**
+ * Holds what the parts of the request path share.
+ *
+ * @param view the state of the cluster
+ * @param caller makes calls to peers and backend servers
+ * @param time the clocks
+ * @param metrics the counters
+ * @param explanations the latest requests
+ * @param random breaks ties
+ */
+record RequestParts(
+        ClusterView view,
+        HttpCaller caller,
+        TimeSource time,
+        RequestMetrics metrics,
+        ExplainRing explanations,
+        RandomGenerator random) {}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -0,0 +1,383 @@
+package org.redwingladder.request;
+
+import com.google.common.flogger.FluentLogger;
+import io.undertow.util.HeaderMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.redwingladder.http.AnswerLostException;
+import org.redwingladder.http.BadAnswerException;
+import org.redwingladder.http.Call;
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.HttpCaller;
+import org.redwingladder.http.NotSentException;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.limits.BitPacer;
+import org.redwingladder.limits.SiteLimits;
+import org.redwingladder.routing.AttemptKind;
+import org.redwingladder.routing.AttemptResult;
+import org.redwingladder.routing.DispatchAction;
+import org.redwingladder.routing.LoadReport;
+import org.redwingladder.routing.SiteDispatcher;
+import org.redwingladder.routing.SiteRequest;
+import org.redwingladder.routing.SiteStatus;
+import org.xnio.XnioExecutor;
+
+/**
+ * Drives the dispatcher of one site that this host owns.
+ *
+ * <p>All steps run one at a time in a serial queue. Before each send the clock is compared with the
+ * owner's confirmation.
+ */
+final class SiteOwner {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Comes back soon after a confirmation, which takes one round of heartbeats. */
+    private static final long UNCONFIRMED_RETRY_MILLIS = 1000;
+
+    private final SerialQueue mQueue = new SerialQueue();
+    private final ClusterView mView;
+    private final HttpCaller mCaller;
+    private final TimeSource mTime;
+    private final RequestMetrics mMetrics;
+    private final SiteDispatcher mDispatcher;
+    private final Map<Long, OwnedRequest> mRequests = new HashMap<>();
+    private final Map<Long, BackendAttempt> mAttempts = new HashMap<>();
+    private SiteSpec mSpec;
+    private long mNextId;
+    private boolean mStopped;
+    private XnioExecutor.@Nullable Key mTimer;
+    private long mTimerAtNanos = Long.MAX_VALUE;
+
+    SiteOwner(SiteSpec spec, RequestParts parts) {
+        mSpec = spec;
+        mView = parts.view();
+        mCaller = parts.caller();
+        mTime = parts.time();
+        mMetrics = parts.metrics();
+        long now = mTime.nanos();
+        SiteLimits limits =
+                SiteLimits.create(
+                        spec.regionOfZone(), spec.caps(), spec.bitsPerSecondByRegion(), now);
+        if (spec.carriedOverUntilNanos() - now > 0) {
+            limits.carryOver(spec.carriedOverUntilNanos());
+        }
+        mDispatcher = SiteDispatcher.create(spec.config(), limits, parts.random(), now);
+    }
+
+    void run(Runnable step) {
+        mQueue.execute(step);
+    }
+
+    /** Takes a request; the returned step tells the owner that the client has gone. */
+    Runnable offer(InboundRequest inbound, AnswerSink sink, Explanation explanation) {
+        OwnedRequest[] owned = new OwnedRequest[1];
+        run(() -> owned[0] = offerInQueue(inbound, sink, explanation));
+        return () -> run(() -> cancelInQueue(owned[0]));
+    }
+
+    /** Follows another settings version. */
+    void configure(SiteSpec spec) {
+        run(
+                () -> {
+                    long now = mTime.nanos();
+                    mSpec = spec;
+                    mDispatcher.limits().change(spec.caps(), spec.bitsPerSecondByRegion(), now);
+                    mDispatcher.configure(spec.config(), now);
+                    dispatch();
+                });
+    }
+
+    /** Refuses what waits and takes nothing more; what is in flight goes on. */
+    void stop() {
+        run(
+                () -> {
+                    mStopped = true;
+                    carryOut(
+                            mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
+                });
+    }
+
+    void loadReported(String backend, LoadReport report) {
+        run(
+                () -> {
+                    mDispatcher.reported(backend, report, mTime.nanos());
+                    dispatch();
+                });
+    }
+
+    /** Calls {@code receiver} with the dispatcher's figures. */
+    void status(java.util.function.Consumer<SiteStatus> receiver) {
+        run(() -> receiver.accept(mDispatcher.status(mTime.nanos())));
+    }
+
+    private @Nullable OwnedRequest offerInQueue(
+            InboundRequest inbound, AnswerSink sink, Explanation explanation) {
+        long now = mTime.nanos();
+        if (mStopped) {
+            sink.refused(Refusal.notRun(RefusalReason.NOT_OWNER, 0, "the site has moved"));
+            return null;
+        }
+        if (unconfirmed(now)) {
+            sink.refused(notConfirmed());
+            return null;
+        }
+        SiteRequest siteRequest =
+                new SiteRequest(
+                        mNextId++,
+                        inbound.fromZone(),
+                        inbound.classKey(),
+                        inbound.statedClass(),
+                        inbound.deadlineNanos(),
+                        inbound.idempotent());
+        OwnedRequest request = new OwnedRequest(inbound, siteRequest, sink, explanation);
+        mRequests.put(siteRequest.id(), request);
+        carryOut(mDispatcher.offer(siteRequest, now));
+        dispatch();
+        return request;
+    }
+
+    private void cancelInQueue(@Nullable OwnedRequest request) {
+        if (request != null && request.decide()) {
+            mRequests.remove(request.siteRequest().id());
+            carryOut(mDispatcher.cancelled(request.siteRequest().id(), mTime.nanos()));
+            dispatch();
+        }
+    }
+
+    private boolean unconfirmed(long nowNanos) {
+        return mView.confirmedUntilNanos() - nowNanos <= 0;
+    }
+
+    private Refusal notConfirmed() {
+        return Refusal.notRun(
+                RefusalReason.NOT_CONFIRMED,
+                mTime.millis() + UNCONFIRMED_RETRY_MILLIS,
+                "the owner is not confirmed by its zone");
+    }
+
+    /** Sends what can be sent, and arranges to be woken. */
+    void dispatch() {
+        long now = mTime.nanos();
+        if (unconfirmed(now)) {
+            long retryAt = now + TimeUnit.MILLISECONDS.toNanos(UNCONFIRMED_RETRY_MILLIS);
+            carryOut(mDispatcher.refuseQueued(RefusalReason.NOT_CONFIRMED, retryAt, now));
+        } else {
+            carryOut(mDispatcher.next(now));
+        }
+        wakeAt(mDispatcher.wakeAtNanos(), now);
+    }
+
+    private void wakeAt(long atNanos, long nowNanos) {
+        if (atNanos == Long.MAX_VALUE || atNanos >= mTimerAtNanos) {
+            return;
+        }
+        if (mTimer != null) {
+            mTimer.remove();
+        }
+        mTimerAtNanos = atNanos;
+        mTimer =
+                mCaller.worker()
+                        .getIoThread()
+                        .executeAfter(
+                                () -> run(this::wake),
+                                Math.max(0, atNanos - nowNanos),
+                                TimeUnit.NANOSECONDS);
+    }
+
+    private void wake() {
+        mTimer = null;
+        mTimerAtNanos = Long.MAX_VALUE;
+        carryOut(mDispatcher.tick(mTime.nanos()));
+        dispatch();
+    }
+
+    private void carryOut(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            switch (action) {
+                case DispatchAction.Send send -> send(send);
+                case DispatchAction.Deliver deliver -> deliver(deliver);
+                case DispatchAction.Refuse refuse -> refuse(refuse);
+                case DispatchAction.Cancel cancel -> cancel(cancel);
+            }
+        }
+    }
+
+    private void send(DispatchAction.Send send) {
+        OwnedRequest request = mRequests.get(send.request().id());
+        if (request == null) {
+            // A probe may outlive its request; without the request there is nothing to send.
+            mDispatcher.completed(send.attempt(), AttemptResult.SHED, mTime.nanos());
+            return;
+        }
+        BackendAttempt attempt =
+                new BackendAttempt(this, request, send.attempt(), send.backend());
+        mAttempts.put(send.attempt(), attempt);
+        if (send.kind() == AttemptKind.HEDGE) {
+            mMetrics.hedge();
+        }
+        request.explanation().add(mTime.millis(), send.backend(), "sent as " + send.kind());
+        long now = mTime.nanos();
+        long confirmedUntil = mView.confirmedUntilNanos();
+        if (confirmedUntil - now <= 0) {
+            unsent(attempt);
+            return;
+        }
+        attempt.call(BackendCall.send(mCaller, mTime, mSpec, attempt, confirmedUntil));
+    }
+
+    /** Takes back a send that the owner may no longer make. */
+    private void unsent(BackendAttempt attempt) {
+        mAttempts.remove(attempt.number());
+        OwnedRequest request = attempt.request();
+        run(
+                () -> {
+                    if (request.decide()) {
+                        mRequests.remove(request.siteRequest().id());
+                        request.sink().refused(notConfirmed());
+                    }
+                    carryOut(
+                            mDispatcher.cancelled(request.siteRequest().id(), mTime.nanos()));
+                });
+    }
+
+    private void deliver(DispatchAction.Deliver deliver) {
+        OwnedRequest request = mRequests.remove(deliver.request().id());
+        BackendAttempt attempt = mAttempts.get(deliver.attempt());
+        if (request == null || attempt == null || !request.decide()) {
+            return;
+        }
+        StreamedAnswer streamed = attempt.streamedAnswer();
+        if (streamed != null) {
+            request.sink().streamed(streamed, attempt.backend(), transfer(attempt));
+        } else if (attempt.wholeAnswer() != null) {
+            request.sink().whole(attempt.wholeAnswer(), attempt.backend());
+        }
+    }
+
+    private AnswerSink.Transfer transfer(BackendAttempt attempt) {
+        StreamedAnswer.TransferHandler handler =
+                new StreamedAnswer.TransferHandler() {
+                    @Override
+                    public void transferred(long bytes) {
+                        run(() -> ended(attempt, AttemptResult.ANSWERED));
+                    }
+
+                    @Override
+                    public void failed(CallException cause) {
+                        run(() -> ended(attempt, resultOf(cause)));
+                    }
+                };
+        return new AnswerSink.Transfer(pacer(attempt.request().inbound().fromZone()), handler);
+    }
+
+    private void refuse(DispatchAction.Refuse refuse) {
+        OwnedRequest request = mRequests.remove(refuse.request().id());
+        if (request == null || !request.decide()) {
+            return;
+        }
+        long retryAt = refuse.retryAtNanos() == 0 ? 0 : mTime.toMillis(refuse.retryAtNanos());
+        request.sink()
+                .refused(
+                        new Refusal(
+                                refuse.reason(),
+                                refuse.outcome(),
+                                retryAt,
+                                "refused by the owner: " + refuse.reason().wireName()));
+    }
+
+    private void cancel(DispatchAction.Cancel cancel) {
+        BackendAttempt attempt = mAttempts.remove(cancel.attempt());
+        Call call = attempt == null ? null : attempt.call();
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** Takes a whole answer. */
+    void answered(BackendAttempt attempt, int status, HeaderMap headers) {
+        if (!mAttempts.containsKey(attempt.number())) {
+            return;
+        }
+        report(attempt.backend(), headers);
+        boolean shed = BackendAttempt.isShed(status, headers);
+        ended(attempt, shed ? AttemptResult.SHED : AttemptResult.ANSWERED);
+    }
+
+    /** Takes the head of a long answer. */
+    void answerBegan(BackendAttempt attempt, StreamedAnswer answer) {
+        if (!mAttempts.containsKey(attempt.number())) {
+            answer.discard();
+            return;
+        }
+        report(attempt.backend(), answer.headers());
+        carryOut(mDispatcher.answerBegan(attempt.number(), mTime.nanos()));
+    }
+
+    void failed(BackendAttempt attempt, CallException cause) {
+        attempt.request().explanation().add(mTime.millis(), attempt.backend(), cause.getMessage());
+        ended(attempt, resultOf(cause));
+    }
+
+    private void ended(BackendAttempt attempt, AttemptResult result) {
+        if (!mAttempts.containsKey(attempt.number())) {
+            return;
+        }
+        carryOut(mDispatcher.completed(attempt.number(), result, mTime.nanos()));
+        mAttempts.remove(attempt.number());
+        dispatch();
+    }
+
+    private static AttemptResult resultOf(CallException cause) {
+        return switch (cause) {
+            case NotSentException notSent ->
+                    notSent.reason() == NotSentException.Cause.REFUSED
+                            ? AttemptResult.REFUSED_CONNECTION
+                            : AttemptResult.SHED;
+            case BadAnswerException bad -> AttemptResult.BAD_ANSWER;
+            case AnswerLostException lost ->
+                    lost.reason() == AnswerLostException.Cause.RECEIVER_GONE
+                            ? AttemptResult.ANSWERED
+                            : AttemptResult.LOST;
+        };
+    }
+
+    private void report(String backend, HeaderMap headers) {
+        LoadReport report = LoadHeaders.parse(headers);
+        if (report != null) {
+            mDispatcher.reported(backend, report, mTime.nanos());
+        }
+    }
+
+    /** Returns the pacer of answers to a zone, which is shared by all its answers. */
+    private StreamedAnswer.Pacer pacer(String zone) {
+        return bytes -> {
+            synchronized (mQueue) {
+                BitPacer pacer = mDispatcher.limits().pacerTo(zone);
+                return pacer == null ? 0 : reserve(pacer, bytes);
+            }
+        };
+    }
+
+    private long reserve(BitPacer pacer, int bytes) {
+        long now = mTime.nanos();
+        long sendAt = now;
+        for (long left = bytes; left > 0; left -= pacer.maxChunkBytes()) {
+            sendAt = pacer.reserve(Math.min(left, pacer.maxChunkBytes()), now);
+        }
+        return sendAt - now;
+    }
+
+    /** Returns how long a whole answer to a zone has to wait for its link. */
+    long linkDelayNanos(String zone, int bytes) {
+        return bytes == 0 ? 0 : pacer(zone).delayNanos(bytes);
+    }
+
+    void logStart() {
+        LOG.atInfo().log("dispatch: started site %s", mSpec.config().service());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwners.java
@@ -0,0 +1,71 @@
+package org.redwingladder.request;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.routing.LoadReport;
+import org.redwingladder.routing.SiteStatus;
+
+/** Starts and stops the owners of the sites that this host owns. */
+final class SiteOwners implements ClusterListener {
+    private final RequestParts mParts;
+    private final Map<String, SiteOwner> mOwners = new ConcurrentHashMap<>();
+    private final Map<String, SiteSpec> mSpecs = new ConcurrentHashMap<>();
+    private final SerialQueue mChanges = new SerialQueue();
+
+    SiteOwners(RequestParts parts) {
+        mParts = parts;
+    }
+
+    /** Returns the owner of a service's site in this zone; null if it is not this host. */
+    @Nullable SiteOwner owner(String service) {
+        return mOwners.get(service);
+    }
+
+    @Override
+    public void changed() {
+        mChanges.execute(this::follow);
+    }
+
+    private void follow() {
+        Collection<String> owned = mParts.view().ownedServices();
+        for (String service : owned) {
+            SiteSpec spec = mParts.view().ownedSite(service);
+            if (spec == null) {
+                continue;
+            }
+            SiteOwner owner = mOwners.get(service);
+            if (owner == null) {
+                owner = new SiteOwner(spec, mParts);
+                owner.logStart();
+                mOwners.put(service, owner);
+            } else if (!spec.equals(mSpecs.get(service))) {
+                owner.configure(spec);
+            } else {
+                owner.run(owner::dispatch);
+            }
+            mSpecs.put(service, spec);
+        }
+        mOwners.forEach(
+                (service, owner) -> {
+                    if (!owned.contains(service)) {
+                        mOwners.remove(service);
+                        mSpecs.remove(service);
+                        owner.stop();
+                    }
+                });
+    }
+
+    @Override
+    public void loadReported(String service, String backend, LoadReport report) {
+        SiteOwner owner = mOwners.get(service);
+        if (owner != null) {
+            owner.loadReported(backend, report);
+        }
+    }
+
+    void status(java.util.function.Consumer<SiteStatus> receiver) {
+        mOwners.values().forEach(owner -> owner.status(receiver));
+    }
+}
