Dispatch requests of a site by class, deadline and own response times

SiteDispatcher accepted events and did nothing. It now queues by class and deadline, refuses at once what cannot start in time, sends to the backend server that is expected to finish first, hedges idempotent requests after the class's quantile, ejects backend servers whose times add up above that quantile, and tries ejected ones by copies of idempotent requests.

ReportSource is added to reported(): a sign of leaving in an answer must not be taken back by a load report that is older than the answer.

Ruled out: a probe by a request of its own. Each one would wait on a slow backend server and show in the tail; a copy costs extra work only.

--- /dev/null
+++ b/core/src/main/java/org/redwingladder/routing/Backend.java
@@ -0,0 +1,138 @@
+package org.redwingladder.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/** Holds what the owner knows of one backend server. */
+final class Backend {
+    /** How long a leaving sign in an answer outweighs a load report that may be older than it. */
+    private static final long HEADER_SIGN_NANOS = 30_000_000_000L;
+
+    private static final double WEIGHT = 0.1;
+
+    BackendSpec mSpec;
+
+    /** Attempts in flight, those cancelled a moment ago included. */
+    int mInFlight;
+
+    /** How far recent service times add up above the class's quantile, in multiples of it. */
+    double mExcess;
+
+    /** Ejected for slowness until this instant, then until a probe succeeds. */
+    boolean mEjected;
+
+    long mProbeAtNanos;
+    int mEjections;
+    long mEjectedAtNanos;
+    boolean mProbing;
+
+    /** Slots in use after a return or a shed answer; grows with each good answer. */
+    int mSlotLimit = Integer.MAX_VALUE;
+
+    /** A connection was refused, and nothing has shown since that it serves. */
+    boolean mRefused;
+
+    private double mRelativeTime = 1;
+    private boolean mReportDraining;
+    private boolean mHeaderDraining;
+    private long mHeaderDrainingAtNanos;
+    private boolean mStarting;
+    private boolean mCold;
+    private long mColdSinceNanos;
+    private @Nullable LoadReport mReport;
+
+    Backend(BackendSpec spec) {
+        mSpec = spec;
+    }
+
+    /** Marks the backend server as cold from now on. */
+    void startRamp(long nowNanos) {
+        mCold = true;
+        mColdSinceNanos = nowNanos;
+    }
+
+    /** Returns whether new work may not be sent, whatever the floor of the ejections says. */
+    boolean leaving() {
+        return mRefused || signedOff();
+    }
+
+    /** Returns whether it says itself, or the settings say, that it leaves. */
+    boolean signedOff() {
+        return mSpec.draining() || mReportDraining || mHeaderDraining;
+    }
+
+    /** Returns when an ejection or a refused connection is forgotten without a probe. */
+    long returnsAtNanos(long probeWaitNanos) {
+        boolean waits = (mEjected || mRefused) && !mProbing;
+        return waits ? mProbeAtNanos + probeWaitNanos : Long.MAX_VALUE;
+    }
+
+    boolean serving() {
+        return !leaving() && !mEjected;
+    }
+
+    /** Returns how many attempts may be in flight. */
+    int usableSlots(long rampNanos, long nowNanos) {
+        int slots = mSpec.slots();
+        if (mReport != null && mReport.slots() > 0) {
+            slots = Math.min(slots, mReport.slots());
+        }
+        slots = Math.min(Math.min(slots, mSlotLimit), mSpec.connections());
+        if (mCold) {
+            long age = nowNanos - mColdSinceNanos;
+            if (age >= rampNanos) {
+                mCold = false;
+            } else {
+                int ramped = 1 + (int) ((double) (mSpec.slots() - 1) * age / rampNanos);
+                slots = Math.min(slots, ramped);
+            }
+        }
+        return slots;
+    }
+
+    boolean ramping() {
+        return mCold;
+    }
+
+    /** Takes a service time into account, in multiples of the class's mean. */
+    void timed(double relativeTime) {
+        mRelativeTime += WEIGHT * (relativeTime - mRelativeTime);
+        if (mSlotLimit < mSpec.slots()) {
+            mSlotLimit++;
+        }
+    }
+
+    /** Estimates when another request would be finished, relative to the class's mean. */
+    double expectedFinish() {
+        return mRelativeTime * (mInFlight + 1) / mSpec.slots();
+    }
+
+    /** Forgets slowness, after a probe has shown that it is over. */
+    void resetTimes() {
+        mRelativeTime = 1;
+    }
+
+    void reported(LoadReport report, ReportSource source, long nowNanos) {
+        boolean draining = report.state() == LoadReport.State.DRAINING;
+        boolean starting = report.state() == LoadReport.State.STARTING;
+        if (source == ReportSource.ANSWER_HEADER) {
+            mHeaderDraining = draining;
+            mHeaderDrainingAtNanos = nowNanos;
+        } else {
+            mReportDraining = draining;
+            if (report.state() == LoadReport.State.SERVING) {
+                if (nowNanos - mHeaderDrainingAtNanos > HEADER_SIGN_NANOS) {
+                    mHeaderDraining = false;
+                }
+                if (mRefused) {
+                    mRefused = false;
+                    startRamp(nowNanos);
+                }
+            }
+        }
+        if (starting && !mStarting) {
+            startRamp(nowNanos);
+        }
+        mStarting = starting;
+        mReport = report;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/routing/ReportSource.java
@@ -0,0 +1,11 @@
+package org.redwingladder.routing;
+
+/**
+ * Names where a {@link LoadReport} came from. A sign of leaving is taken back by its own source.
+ */
+public enum ReportSource {
+    /** The backend server's load endpoint. */
+    LOAD_ENDPOINT,
+    /** The headers of an answer. */
+    ANSWER_HEADER
+}
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -3,8 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.Outcome;
 import org.redwingladder.api.RefusalReason;
+import org.redwingladder.limits.Admission;
 import org.redwingladder.limits.SiteLimits;
+import org.redwingladder.routing.DispatchAction.Refuse;
 
 /**
  * Decides for one site which request goes to which backend server, and when.
@@ -15,14 +19,21 @@
  * #next}. Instants are nanoseconds of one monotonic clock that never runs backwards.
  */
 public final class SiteDispatcher {
-    private final SiteLimits mLimits;
-    private final RandomGenerator mRandom;
-    private SiteConfig mConfig;
+    /** How often the ages of attempts are looked at. */
+    private static final long TICK_NANOS = 5_000_000L;
 
-    private SiteDispatcher(SiteConfig config, SiteLimits limits, RandomGenerator random) {
-        mConfig = config;
-        mLimits = limits;
-        mRandom = random;
+    /** When to come back to a site without backend servers; one of them may be back by then. */
+    private static final long NO_BACKEND_RETRY_NANOS = 1_000_000_000L;
+
+    private final Site mSite;
+    private final InFlight mInFlight;
+    private final SiteQueue mQueue = SiteQueue.create();
+    private long mTickedNanos;
+
+    private SiteDispatcher(Site site, long nowNanos) {
+        mSite = site;
+        mInFlight = new InFlight(site);
+        mTickedNanos = nowNanos;
     }
 
     /**
@@ -34,22 +45,130 @@
      */
     public static SiteDispatcher create(
             SiteConfig config, SiteLimits limits, RandomGenerator random, long nowNanos) {
-        return new SiteDispatcher(config, limits, random);
+        return create(config, SiteTuning.standard(), limits, random, nowNanos);
+    }
+
+    /** Creates a dispatcher with other numbers than the standard ones. */
+    public static SiteDispatcher create(
+            SiteConfig config,
+            SiteTuning tuning,
+            SiteLimits limits,
+            RandomGenerator random,
+            long nowNanos) {
+        return new SiteDispatcher(new Site(config, tuning, limits, random, nowNanos), nowNanos);
     }
 
     /** Follows another settings version; requests in flight go on. */
     public void configure(SiteConfig config, long nowNanos) {
-        mConfig = config;
+        mSite.mConfig = config;
+        mSite.mPool.configure(config, nowNanos);
     }
 
     /** Takes a request into the queue, or refuses it at once. */
     public List<DispatchAction> offer(SiteRequest request, long nowNanos) {
-        return List.of();
+        if (request.deadlineNanos() <= nowNanos) {
+            return List.of(notRun(request, RefusalReason.DEADLINE_EXPIRED, 0));
+        }
+        if (mSite.mPool.servingSlots(nowNanos) == 0) {
+            long retryAt = nowNanos + NO_BACKEND_RETRY_NANOS;
+            return List.of(notRun(request, RefusalReason.NO_BACKEND, retryAt));
+        }
+        WorkClass workClass = mSite.mLearner.classOf(request);
+        long mean = mSite.times(workClass).meanNanos();
+        long wait = expectedWaitNanos(workClass, request.deadlineNanos(), nowNanos);
+        long bound =
+                Math.min(
+                        request.deadlineNanos() - mean - nowNanos,
+                        Math.max(
+                                mSite.mTuning.maxWaitNanos(),
+                                (long) (mSite.mTuning.maxWaitTimes() * mean)));
+        if (wait > 0 && wait > bound) {
+            long retryAt = nowNanos + Math.max(mean, wait - Math.max(0, bound));
+            return List.of(notRun(request, RefusalReason.QUEUE_FULL, retryAt));
+        }
+        return switch (mSite.mLimits.tryAdmit(request.fromZone(), nowNanos)) {
+            case Admission.Refused refused ->
+                    List.of(notRun(request, refused.reason(), refused.retryAtNanos()));
+            case Admission.Admitted admitted -> {
+                mQueue.add(request, workClass, admitted);
+                yield List.of();
+            }
+        };
+    }
+
+    private static Refuse notRun(SiteRequest request, RefusalReason reason, long retryAtNanos) {
+        return new Refuse(request, reason, Outcome.NOT_RUN, retryAtNanos);
+    }
+
+    /** Estimates how long a request of the class would wait for a slot. */
+    private long expectedWaitNanos(WorkClass workClass, long deadlineNanos, long nowNanos) {
+        int free = mSite.mPool.freeSlots(nowNanos);
+        int slots = mSite.mPool.servingSlots(nowNanos);
+        int longInFlight = mInFlight.count(WorkClass.LONG);
+        if (workClass == WorkClass.LONG) {
+            int limit = mSite.longLimit(nowNanos);
+            slots = limit;
+            free = Math.min(free - mQueue.size(WorkClass.SHORT), limit - longInFlight);
+        } else {
+            slots -= longInFlight;
+        }
+        int ahead = mQueue.ahead(workClass, deadlineNanos);
+        if (ahead < free) {
+            return 0;
+        }
+        long mean = mSite.times(workClass).meanNanos();
+        return (ahead + 1 - Math.max(0, free)) * mean / Math.max(1, slots);
     }
 
     /** Returns the sends that are possible now, and refusals of requests that expired meanwhile. */
     public List<DispatchAction> next(long nowNanos) {
-        return new ArrayList<>();
+        List<DispatchAction> out = new ArrayList<>();
+        expireQueued(out, nowNanos);
+        int shortDemand = mInFlight.count(WorkClass.SHORT) + mQueue.size(WorkClass.SHORT);
+        mSite.mShare.update(shortDemand, nowNanos);
+        while (mQueue.size(WorkClass.SHORT) + mQueue.size(WorkClass.LONG) > 0) {
+            Backend backend = mSite.mChooser.choose(null, nowNanos);
+            if (backend == null) {
+                break;
+            }
+            SiteQueue.Entry entry = pollNext(nowNanos);
+            if (entry == null) {
+                break;
+            }
+            mInFlight.send(entry, backend, out, nowNanos);
+        }
+        return out;
+    }
+
+    private SiteQueue.@Nullable Entry pollNext(long nowNanos) {
+        SiteQueue.Entry entry =
+                mQueue.poll(WorkClass.SHORT, e -> mSite.mLimits.trySend(e.admission(), nowNanos));
+        if (entry == null
+                && mQueue.size(WorkClass.LONG) > 0
+                && mInFlight.count(WorkClass.LONG) < mSite.longLimit(nowNanos)) {
+            entry =
+                    mQueue.poll(
+                            WorkClass.LONG, e -> mSite.mLimits.trySend(e.admission(), nowNanos));
+        }
+        return entry;
+    }
+
+    private void expireQueued(List<DispatchAction> out, long nowNanos) {
+        for (WorkClass workClass : WorkClass.values()) {
+            if (mQueue.size(workClass) == 0) {
+                continue;
+            }
+            long mean = mSite.times(workClass).meanNanos();
+            for (SiteQueue.Entry entry : mQueue.removeDueBy(workClass, nowNanos + mean / 2)) {
+                mSite.mLimits.release(entry.admission());
+                long retryAt = nowNanos + mean;
+                out.add(notRun(entry.request(), RefusalReason.DEADLINE_EXPIRED, retryAt));
+            }
+        }
+        if (mSite.mPool.servingSlots(nowNanos) == 0) {
+            long retryAt = nowNanos + NO_BACKEND_RETRY_NANOS;
+            out.addAll(refuseQueued(RefusalReason.NO_BACKEND, retryAt, nowNanos));
+        }
     }
 
     /**
@@ -57,25 +176,53 @@
      * {@link #completed} follows at the end of the answer.
      */
     public List<DispatchAction> answerBegan(long attempt, long nowNanos) {
-        return List.of();
+        return mInFlight.answerBegan(attempt, nowNanos);
     }
 
     /** Reports the end of an attempt. */
     public List<DispatchAction> completed(long attempt, AttemptResult result, long nowNanos) {
-        return List.of();
+        InFlight.Ended ended = mInFlight.completed(attempt, result, nowNanos);
+        Flight again = ended.again();
+        if (again == null) {
+            return ended.actions();
+        }
+        // A refused connection is no attempt at the work: it goes back to its place in the queue.
+        List<DispatchAction> out = new ArrayList<>(ended.actions());
+        switch (mSite.mLimits.tryAdmit(again.mRequest.fromZone(), nowNanos)) {
+            case Admission.Refused refused ->
+                    out.add(notRun(again.mRequest, refused.reason(), refused.retryAtNanos()));
+            case Admission.Admitted admitted ->
+                    mQueue.add(again.mRequest, again.mWorkClass, admitted);
+        }
+        return out;
     }
 
     /** Reports that the client has gone; its request leaves the queue or is cancelled. */
     public List<DispatchAction> cancelled(long requestId, long nowNanos) {
-        return List.of();
+        SiteQueue.Entry entry = mQueue.remove(requestId);
+        if (entry != null) {
+            mSite.mLimits.release(entry.admission());
+            return List.of();
+        }
+        List<DispatchAction> out = new ArrayList<>(2);
+        mInFlight.cancelled(requestId, out, nowNanos);
+        return out;
     }
 
     /** Reports what a backend server says of itself. */
-    public void reported(String backend, LoadReport report, long nowNanos) {}
+    public void reported(String backend, LoadReport report, ReportSource source, long nowNanos) {
+        Backend known = mSite.mPool.find(backend);
+        if (known != null) {
+            known.reported(report, source, nowNanos);
+        }
+    }
 
     /** Does what is due: expiry, hedges, ejections. */
     public List<DispatchAction> tick(long nowNanos) {
-        return List.of();
+        mTickedNanos = nowNanos;
+        List<DispatchAction> out = new ArrayList<>();
+        mInFlight.tick(out, nowNanos);
+        return out;
     }
 
     /**
@@ -84,21 +231,38 @@
      */
     public List<DispatchAction> refuseQueued(
             RefusalReason reason, long retryAtNanos, long nowNanos) {
-        return List.of();
+        List<DispatchAction> out = new ArrayList<>();
+        for (SiteQueue.Entry entry : mQueue.removeAll()) {
+            mSite.mLimits.release(entry.admission());
+            out.add(notRun(entry.request(), reason, retryAtNanos));
+        }
+        return out;
     }
 
     /** Returns when {@link #tick} is to be called next; {@link Long#MAX_VALUE} if never. */
     public long wakeAtNanos() {
-        return Long.MAX_VALUE;
+        int waiting = mQueue.size(WorkClass.SHORT) + mQueue.size(WorkClass.LONG);
+        if (waiting == 0 && mInFlight.isEmpty()) {
+            return mInFlight.wakeAtNanos();
+        }
+        // A hedge that found no slot or no budget is tried again at the next tick, not before.
+        long due = Math.max(mInFlight.wakeAtNanos(), mTickedNanos + TICK_NANOS / 5);
+        return Math.min(due, mTickedNanos + TICK_NANOS);
     }
 
     /** Returns figures for metrics and status pages. */
     public SiteStatus status(long nowNanos) {
-        return new SiteStatus(mConfig.service(), 0, 0, 0, 0, List.of());
+        return new SiteStatus(
+                mSite.mConfig.service(),
+                mQueue.size(WorkClass.SHORT),
+                mQueue.size(WorkClass.LONG),
+                mInFlight.count(WorkClass.SHORT),
+                mInFlight.count(WorkClass.LONG),
+                mSite.mPool.status(nowNanos));
     }
 
     /** Returns the site's caps, for the pacing of answers. */
     public SiteLimits limits() {
-        return mLimits;
+        return mSite.mLimits;
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/routing/SiteTuning.java
@@ -0,0 +1,30 @@
+package org.redwingladder.routing;
+
+/**
+ * Holds the numbers that {@code ./scripts/bench policy} has tuned.
+ *
+ * @param hedgeQuantile which share of its class a request outlasts before it is hedged
+ * @param extraPercent how much extra work hedges and probes may make, in percent of the requests
+ * @param ejectAtExcess how far above its class's quantile a backend server's times may add up, in
+ *     multiples of that quantile, before it is ejected
+ * @param ejectNanos how long the first ejection lasts; each further one lasts twice as long
+ * @param ejectMaxNanos how long an ejection lasts at most
+ * @param maxWaitNanos how long a request may be expected to wait for a slot, if its deadline allows
+ * @param maxWaitTimes the same, in multiples of its class's mean service time; the larger counts
+ * @param reserveFactor how many square roots of the slots in use by short work are kept free for it
+ */
+public record SiteTuning(
+        double hedgeQuantile,
+        double extraPercent,
+        double ejectAtExcess,
+        long ejectNanos,
+        long ejectMaxNanos,
+        long maxWaitNanos,
+        double maxWaitTimes,
+        double reserveFactor) {
+
+    /** Returns the numbers that entry hosts use. */
+    public static SiteTuning standard() {
+        return new SiteTuning(0.95, 5, 3, 250_000_000L, 4_000_000_000L, 250_000_000L, 4, 1.5);
+    }
+}
