--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/ClaimRuns.java
@@ -0,0 +1,224 @@
+package org.redwingladder.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.redwingladder.http.Json;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.once.ClaimMachine;
+import org.redwingladder.once.ClaimMachine.Effect;
+import org.redwingladder.once.ClaimRecord;
+import org.redwingladder.platform.PlatformClient;
+import org.redwingladder.platform.Row;
+import org.redwingladder.platform.Transaction;
+import org.redwingladder.platform.TransactionResult;
+
+/** Runs requests with an idempotency key, each after its claim was written to the platform. */
+final class ClaimRuns {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Keeps outcomes for clients that come back after a while. */
+    private static final long KEEP_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+    private static final long PLATFORM_RETRY_MILLIS = 1000;
+
+    /** Lets the outcome be written when the request's deadline has almost passed. */
+    private static final long OUTCOME_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final RequestParts mParts;
+    private final Ingress mIngress;
+    private final PlatformClient mPlatform;
+    private final AtomicLong mAttempts = new AtomicLong();
+
+    ClaimRuns(RequestParts parts, Ingress ingress, PlatformClient platform) {
+        mParts = parts;
+        mIngress = ingress;
+        mPlatform = platform;
+    }
+
+    void start(InboundRequest request, String key, AnswerSink sink) {
+        ClusterView.Self self = mParts.view().self();
+        ClaimRecord claim =
+                new ClaimRecord(
+                        request.service().name(),
+                        key,
+                        self.host(),
+                        self.incarnation(),
+                        mAttempts.incrementAndGet(),
+                        mParts.time().millis() + KEEP_MILLIS,
+                        null);
+        Run run = new Run(request, claim, sink);
+        run.advance(() -> run.mMachine.start());
+    }
+
+    /** Drives the machine of one request. */
+    private final class Run implements AnswerSink {
+        private final SerialQueue mQueue = new SerialQueue();
+        private final InboundRequest mRequest;
+        private final AnswerSink mSink;
+        private final ClaimMachine mMachine;
+        private final String mId;
+        private int mTransactions;
+        private @Nullable WholeAnswer mAnswer;
+        private String mBackend = "";
+
+        Run(InboundRequest request, ClaimRecord claim, AnswerSink sink) {
+            mRequest = request;
+            mSink = sink;
+            mMachine = ClaimMachine.create(claim, request.deadlineMillis());
+            mId = claim.host() + "-" + claim.incarnation() + "-claim-" + claim.attempt();
+        }
+
+        void advance(java.util.function.Supplier<List<Effect>> step) {
+            mQueue.execute(() -> step.get().forEach(this::carryOut));
+        }
+
+        private void carryOut(Effect effect) {
+            switch (effect) {
+                case Effect.WriteClaim write -> write(write.claim(), write.expectedVersion());
+                case Effect.ReadClaim read -> read(read.rowKey());
+                case Effect.Send send ->
+                        mIngress.start(mRequest.withStartBy(send.startBy()), this, 0);
+                case Effect.Answer answer -> answer(answer);
+                case Effect.Refuse refuse -> mSink.refused(refuse.refusal());
+                case Effect.WriteOutcome write ->
+                        note(
+                                transaction()
+                                        .replace(
+                                                write.claim().rowKey(),
+                                                write.expectedVersion(),
+                                                json(write.claim())));
+                case Effect.DeleteClaim delete ->
+                        note(
+                                transaction()
+                                        .check(delete.rowKey(), delete.expectedVersion())
+                                        .delete(delete.rowKey()));
+            }
+        }
+
+        private Transaction transaction() {
+            return Transaction.of(mId + "-" + ++mTransactions);
+        }
+
+        private void write(ClaimRecord claim, long expectedVersion) {
+            String key = claim.rowKey();
+            mPlatform
+                    .commit(
+                            transaction().replace(key, expectedVersion, json(claim)),
+                            mRequest.deadlineNanos())
+                    .whenComplete(
+                            (result, failure) ->
+                                    advance(
+                                            () ->
+                                                    failure == null
+                                                            ? written(key, result)
+                                                            : platformFailed()));
+        }
+
+        private List<Effect> written(String key, TransactionResult result) {
+            long now = mParts.time().millis();
+            return switch (result) {
+                case TransactionResult.Committed committed ->
+                        mMachine.claimWritten(committed.versions().getOrDefault(key, 0L), now);
+                case TransactionResult.Conflict conflict -> {
+                    Row row = conflict.failed().isEmpty() ? null : conflict.failed().get(0);
+                    yield row == null
+                            ? platformFailed()
+                            : mMachine.claimFailed(claim(row), row.version(), now);
+                }
+                case TransactionResult.Unknown unknown -> mMachine.claimLost();
+            };
+        }
+
+        private void read(String key) {
+            mPlatform
+                    .row(key, mRequest.deadlineNanos())
+                    .whenComplete(
+                            (row, failure) ->
+                                    advance(
+                                            () ->
+                                                    failure != null
+                                                            ? platformFailed()
+                                                            : mMachine.claimRead(
+                                                                    row.map(this::claim)
+                                                                            .orElse(null),
+                                                                    row.map(Row::version)
+                                                                            .orElse(0L),
+                                                                    mParts.time().millis())));
+        }
+
+        private List<Effect> platformFailed() {
+            return mMachine.platformFailed(mParts.time().millis() + PLATFORM_RETRY_MILLIS);
+        }
+
+        /** Writes what nobody waits for. */
+        private void note(Transaction transaction) {
+            mPlatform
+                    .commit(transaction, mParts.time().nanos() + OUTCOME_NANOS)
+                    .whenComplete(
+                            (result, failure) -> {
+                                if (!(result instanceof TransactionResult.Committed)) {
+                                    LOG.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                                            "once: the outcome of %s was not written",
+                                            mRequest.requestId());
+                                }
+                            });
+        }
+
+        private @Nullable ClaimRecord claim(Row row) {
+            JsonNode value = row.value();
+            try {
+                return value == null ? null : Json.mapper().treeToValue(value, ClaimRecord.class);
+            } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+                throw new IllegalStateException("row " + row.key() + " is not a claim", e);
+            }
+        }
+
+        private JsonNode json(ClaimRecord claim) {
+            return Json.mapper().valueToTree(claim);
+        }
+
+        private void answer(Effect.Answer effect) {
+            WholeAnswer own = mAnswer;
+            if (own != null) {
+                mSink.whole(own, mBackend);
+            } else {
+                mSink.whole(
+                        Outcomes.toAnswer(effect.outcome()), Outcomes.backend(effect.outcome()));
+            }
+        }
+
+        @Override
+        public void whole(WholeAnswer answer, String backend) {
+            advance(
+                    () -> {
+                        mAnswer = answer;
+                        mBackend = backend;
+                        return mMachine.completed(Outcomes.of(answer, backend));
+                    });
+        }
+
+        @Override
+        public void streamed(StreamedAnswer answer, String backend, Transfer transfer) {
+            // Too long to be remembered: the claim stays without an outcome.
+            mSink.streamed(answer, backend, transfer);
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            advance(() -> mMachine.refused(refusal));
+        }
+    }
+
+    /** Tells a platform that does not answer from a conflict. */
+    static Refusal unavailable(long retryAt) {
+        return Refusal.notRun(
+                RefusalReason.PLATFORM_UNAVAILABLE, retryAt, "the platform does not answer");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
@@ -0,0 +1,181 @@
+package org.redwingladder.request;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.retry.RetryDecision;
+
+/** Tries one request at one site after the other until it has its final answer. */
+final class IngressRequest {
+    private final Ingress mIngress;
+    private final InboundRequest mRequest;
+    private final AnswerSink mSink;
+    private final int mHop;
+    private final Explanation mExplanation;
+    private final List<String> mZones;
+    private int mNext;
+    private @Nullable Candidate mCurrent;
+    private boolean mDone;
+
+    IngressRequest(Ingress ingress, InboundRequest request, AnswerSink sink, int hop) {
+        mIngress = ingress;
+        mRequest = request;
+        mSink = sink;
+        mHop = hop;
+        mExplanation =
+                ingress.parts()
+                        .explanations()
+                        .start(request.requestId(), request.service().name(), "ingress");
+        mZones = ingress.parts().view().sitesInOrder(request.service().name(), request.block());
+    }
+
+    void start() {
+        tryNext(null);
+    }
+
+    private void tryNext(@Nullable Refusal last) {
+        ClusterView view = mIngress.parts().view();
+        while (mNext < mZones.size()) {
+            String zone = mZones.get(mNext++);
+            ClusterView.Peer owner = view.ownerOf(zone, mRequest.service().name());
+            if (owner == null) {
+                explain(zone, "skipped: no owner known");
+                continue;
+            }
+            Candidate candidate = new Candidate(zone, owner);
+            synchronized (this) {
+                if (mDone) {
+                    return;
+                }
+                mCurrent = candidate;
+            }
+            explain(candidate.name(), "tried");
+            candidate.start();
+            return;
+        }
+        refuse(
+                last != null
+                        ? last
+                        : Refusal.notRun(
+                                RefusalReason.NO_BACKEND,
+                                mIngress.parts().time().millis() + RETRY_MILLIS,
+                                "no site of the service has a known owner"));
+    }
+
+    /** An owner is found again after a roster change, which takes a few heartbeats. */
+    private static final long RETRY_MILLIS = 1000;
+
+    private synchronized boolean finish(@Nullable Candidate by) {
+        if (mDone || (by != null && mCurrent != by)) {
+            return false;
+        }
+        mDone = true;
+        mCurrent = null;
+        return true;
+    }
+
+    private void refuse(Refusal refusal) {
+        if (finish(null)) {
+            explain(
+                    mIngress.parts().view().self().host(),
+                    "refused: " + refusal.reason().wireName());
+            mSink.refused(refusal);
+        }
+    }
+
+    /** Gives the request up, because its client has gone. */
+    void cancel() {
+        Candidate current;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            current = mCurrent;
+            mDone = true;
+            mCurrent = null;
+        }
+        explain("client", "gone");
+        if (current != null) {
+            current.cancel();
+        }
+    }
+
+    private void explain(String candidate, String event) {
+        mExplanation.add(mIngress.parts().time().millis(), candidate, event);
+    }
+
+    /** Holds the attempt at one site. */
+    private final class Candidate implements AnswerSink {
+        private final String mZone;
+        private final ClusterView.Peer mOwner;
+        private volatile @Nullable Runnable mCancel;
+
+        Candidate(String zone, ClusterView.Peer owner) {
+            mZone = zone;
+            mOwner = owner;
+        }
+
+        String name() {
+            return mZone + "/" + mOwner.host();
+        }
+
+        void start() {
+            ClusterView.Self self = mIngress.parts().view().self();
+            if (!mOwner.host().equals(self.host())) {
+                mCancel = PeerCall.dispatch(mIngress.parts(), mRequest, mOwner, mHop + 1, this);
+                return;
+            }
+            SiteOwner owner = mIngress.owners().owner(mRequest.service().name());
+            if (owner == null) {
+                refused(Refusal.notRun(RefusalReason.NOT_OWNER, 0, "the site has not started"));
+            } else {
+                mCancel = owner.offer(mRequest, this, mExplanation);
+            }
+        }
+
+        void cancel() {
+            Runnable cancel = mCancel;
+            if (cancel != null) {
+                cancel.run();
+            }
+        }
+
+        @Override
+        public void whole(WholeAnswer answer, String backend) {
+            if (finish(this)) {
+                explain(name(), "answered by " + backend);
+                mSink.whole(answer, backend);
+            }
+        }
+
+        @Override
+        public void streamed(StreamedAnswer answer, String backend, Transfer transfer) {
+            if (finish(this)) {
+                explain(name(), "answered by " + backend);
+                mSink.streamed(answer, backend, transfer);
+            } else {
+                answer.discard(transfer.handler());
+            }
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            synchronized (IngressRequest.this) {
+                if (mDone || mCurrent != this) {
+                    return;
+                }
+            }
+            explain(name(), refusal.reason().wireName() + ", " + refusal.outcome().wireName());
+            switch (mIngress.decide(mRequest, refusal, mZones.size() - mNext)) {
+                case RetryDecision.Retry retry -> {
+                    mIngress.parts().metrics().retry(refusal.reason());
+                    tryNext(refusal);
+                }
+                case RetryDecision.GiveUp giveUp -> refuse(giveUp.answer());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/LookupHandler.java
@@ -0,0 +1,70 @@
+package org.redwingladder.request;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import org.redwingladder.api.LookupAnswer;
+import org.redwingladder.api.RefusalReason;
+
+/** Answers look-ups. */
+final class LookupHandler {
+    private final ClusterView mView;
+    private final TimeSource mTime;
+    private final OnceRequests mOnce;
+
+    LookupHandler(RequestParts parts, OnceRequests once) {
+        mView = parts.view();
+        mTime = parts.time();
+        mOnce = once;
+    }
+
+    void handle(HttpServerExchange exchange) throws RefusedException {
+        if (!Methods.GET.equals(exchange.getRequestMethod())) {
+            throw RefusedException.notRun(
+                    RefusalReason.BAD_REQUEST, "unknown method for a look-up; allowed: GET");
+        }
+        ClusterView.Readiness readiness = mView.readiness();
+        if (readiness.state() == ClusterView.Readiness.State.NOT_READY) {
+            throw RefusedException.notRun(RefusalReason.NOT_READY, readiness.reason());
+        }
+        String name = RequestReader.parameter(exchange, "service");
+        ServiceSpec service = name == null ? null : mView.service(name);
+        if (service == null) {
+            throw RefusedException.notRun(
+                    RefusalReason.UNKNOWN_SERVICE, "unknown service '" + name + "'");
+        }
+        int block = block(RequestReader.parameter(exchange, "block"));
+        LookupAnswer answer = mView.lookup(service.name(), block, mTime.millis());
+        if (answer == null) {
+            throw RefusedException.notRun(
+                    RefusalReason.NOT_READY, "no entry host of the service is known yet");
+        }
+        boolean once = "true".equals(RequestReader.parameter(exchange, "once"));
+        Replies.json(exchange, once ? withToken(answer, service) : answer);
+    }
+
+    private LookupAnswer withToken(LookupAnswer answer, ServiceSpec service) {
+        // A request sent as late as the answer may be used can still take its longest time.
+        long expiresAt = answer.expiresAt() + service.maxRequestMillis();
+        return new LookupAnswer(
+                answer.service(),
+                answer.block(),
+                answer.entryHosts(),
+                answer.expiresAt(),
+                answer.settingsVersion(),
+                mOnce.issue(service.name(), expiresAt));
+    }
+
+    private int block(@org.jspecify.annotations.Nullable String text) throws RefusedException {
+        try {
+            int block = text == null ? -1 : Integer.parseInt(text);
+            if (block >= 0 && block < mView.blockCount()) {
+                return block;
+            }
+        } catch (NumberFormatException e) {
+            // Refused below, as a block out of range is.
+        }
+        throw RefusedException.notRun(
+                RefusalReason.BAD_REQUEST,
+                "block is '" + text + "'; allowed: 0 to " + (mView.blockCount() - 1));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/Outcomes.java
@@ -0,0 +1,35 @@
+package org.redwingladder.request;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.HttpString;
+import java.util.Map;
+import java.util.TreeMap;
+import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.once.StoredOutcome;
+
+/** Converts answers to the form in which they are remembered, and back. */
+final class Outcomes {
+    private Outcomes() {}
+
+    static StoredOutcome of(WholeAnswer answer, String backend) {
+        HeaderMap kept = new HeaderMap();
+        WireHeaders.copyEndToEnd(answer.headers(), kept);
+        Map<String, String> headers = new TreeMap<>();
+        for (HeaderValues values : kept) {
+            headers.put(values.getHeaderName().toString(), values.getFirst());
+        }
+        headers.put(WireHeaders.BACKEND.toString(), backend);
+        return StoredOutcome.of(answer.status(), headers, answer.body());
+    }
+
+    static WholeAnswer toAnswer(StoredOutcome outcome) {
+        HeaderMap headers = new HeaderMap();
+        outcome.headers().forEach((name, value) -> headers.put(new HttpString(name), value));
+        return new WholeAnswer(outcome.status(), headers, outcome.body());
+    }
+
+    static String backend(StoredOutcome outcome) {
+        return outcome.headers().getOrDefault(WireHeaders.BACKEND.toString(), "unknown");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/PeerCall.java
@@ -0,0 +1,138 @@
+package org.redwingladder.request;
+
+import io.undertow.util.HeaderMap;
+import java.util.Locale;
+import org.redwingladder.api.ErrorBody;
+import org.redwingladder.api.Outcome;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.redwingladder.http.AnswerHandler;
+import org.redwingladder.http.Call;
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.CallRequest;
+import org.redwingladder.http.Json;
+import org.redwingladder.http.JsonException;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+
+/** Forwards a request to another entry host and turns what comes back into an answer. */
+final class PeerCall implements AnswerHandler {
+    static final String DISPATCH = "/peer/v1/dispatch/";
+    static final String ONCE = "/peer/v1/once/";
+
+    private final String mPeer;
+    private final AnswerSink mSink;
+    private final RequestMetrics mMetrics;
+
+    private PeerCall(String peer, AnswerSink sink, RequestMetrics metrics) {
+        mPeer = peer;
+        mSink = sink;
+        mMetrics = metrics;
+    }
+
+    /** Sends a request to a site's owner; the returned step gives it up. */
+    static Runnable dispatch(
+            RequestParts parts,
+            InboundRequest inbound,
+            ClusterView.Peer owner,
+            int hop,
+            AnswerSink sink) {
+        return send(parts, inbound, owner, DISPATCH, hop, sink);
+    }
+
+    /** Sends a request to its token's host; the returned step gives it up. */
+    static Runnable once(
+            RequestParts parts, InboundRequest inbound, ClusterView.Peer host, AnswerSink sink) {
+        return send(parts, inbound, host, ONCE, 1, sink);
+    }
+
+    private static Runnable send(
+            RequestParts parts,
+            InboundRequest inbound,
+            ClusterView.Peer peer,
+            String prefix,
+            int hop,
+            AnswerSink sink) {
+        CallRequest call =
+                CallRequest.of(
+                        inbound.method(),
+                        peer.peerAddress(),
+                        prefix + inbound.service().name() + inbound.path(),
+                        inbound.deadlineNanos());
+        WireHeaders.copyEndToEnd(inbound.exchange().getRequestHeaders(), call.headers());
+        call.requestId(inbound.requestId());
+        call.header(WireHeaders.DEADLINE, Long.toString(inbound.deadlineMillis()));
+        call.header(WireHeaders.HOP, Integer.toString(hop));
+        call.header(WireHeaders.FROM_ZONE, parts.view().self().zone());
+        if (inbound.startByMillis() != Long.MAX_VALUE) {
+            call.header(WireHeaders.START_BY, Long.toString(inbound.startByMillis()));
+        }
+        if (inbound.body().length > 0) {
+            call.body(inbound.body());
+        }
+        Call running = parts.caller().send(call, new PeerCall(peer.host(), sink, parts.metrics()));
+        return running::cancel;
+    }
+
+    @Override
+    public void whole(WholeAnswer answer) {
+        String backend = answer.headers().getFirst(WireHeaders.BACKEND);
+        if (backend != null) {
+            mSink.whole(answer, backend);
+        } else {
+            mSink.refused(refusal(answer));
+        }
+    }
+
+    private Refusal refusal(WholeAnswer answer) {
+        try {
+            Refusal refusal = Json.read(answer.body(), ErrorBody.class).refusal();
+            boolean certain = "true".equals(answer.headers().getFirst(WireHeaders.NOT_RUN));
+            return refusal.outcome() == Outcome.NOT_RUN && !certain
+                    ? Refusal.unknown(refusal.reason(), refusal.message())
+                    : refusal;
+        } catch (JsonException | RuntimeException e) {
+            return Refusal.unknown(
+                    RefusalReason.PEER_LOST,
+                    String.format(
+                            Locale.ROOT,
+                            "entry host %s gave status %d without a reason",
+                            mPeer,
+                            answer.status()));
+        }
+    }
+
+    @Override
+    public void streamed(StreamedAnswer answer) {
+        HeaderMap headers = answer.headers();
+        String backend = headers.getFirst(WireHeaders.BACKEND);
+        StreamedAnswer.TransferHandler handler =
+                new StreamedAnswer.TransferHandler() {
+                    @Override
+                    public void transferred(long bytes) {}
+
+                    @Override
+                    public void failed(CallException cause) {
+                        mMetrics.cutOff();
+                    }
+                };
+        if (backend == null) {
+            answer.discard(handler);
+            mSink.refused(
+                    Refusal.unknown(
+                            RefusalReason.PEER_LOST,
+                            "entry host " + mPeer + " gave an answer without a backend server"));
+        } else {
+            mSink.streamed(answer, backend, new AnswerSink.Transfer(bytes -> 0, handler));
+        }
+    }
+
+    @Override
+    public void failed(CallException cause) {
+        String message = "entry host " + mPeer + ": " + cause.getMessage();
+        mSink.refused(
+                cause.neverSent()
+                        ? Refusal.notRun(RefusalReason.PEER_LOST, 0, message)
+                        : Refusal.unknown(RefusalReason.PEER_LOST, message));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/request/ReplySink.java
@@ -0,0 +1,76 @@
+package org.redwingladder.request;
+
+import io.undertow.server.HttpServerExchange;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+
+/** Writes the final answer of a request to its exchange. */
+final class ReplySink implements AnswerSink {
+    private final HttpServerExchange mExchange;
+    private final String mRequestId;
+    private final Runnable mEnded;
+    private volatile boolean mAbandoned;
+
+    /**
+     * Creates a sink.
+     *
+     * @param ended runs once, when the answer is decided or, if it is long, when it was handed on
+     */
+    ReplySink(HttpServerExchange exchange, String requestId, Runnable ended) {
+        mExchange = exchange;
+        mRequestId = requestId;
+        mEnded = ended;
+    }
+
+    @Override
+    public void whole(WholeAnswer answer, String backend) {
+        mEnded.run();
+        if (mAbandoned) {
+            return;
+        }
+        Replies.whole(mExchange, mRequestId, answer, backend);
+    }
+
+    @Override
+    public void streamed(StreamedAnswer answer, String backend, Transfer transfer) {
+        StreamedAnswer.TransferHandler handler = transfer.handler();
+        if (mAbandoned) {
+            mEnded.run();
+            answer.discard(handler);
+            return;
+        }
+        StreamedAnswer.TransferHandler both =
+                new StreamedAnswer.TransferHandler() {
+                    @Override
+                    public void transferred(long bytes) {
+                        mEnded.run();
+                        handler.transferred(bytes);
+                    }
+
+                    @Override
+                    public void failed(CallException cause) {
+                        mEnded.run();
+                        handler.failed(cause);
+                    }
+                };
+        Replies.streamed(
+                mExchange, mRequestId, answer, backend, new Transfer(transfer.pacer(), both));
+    }
+
+    @Override
+    public void refused(Refusal refusal) {
+        mEnded.run();
+        if (mAbandoned) {
+            return;
+        }
+        Replies.refusal(mExchange, mRequestId, refusal);
+    }
+
+    /** Ends the request without an answer, because nobody is left to receive one. */
+    void abandoned() {
+        mAbandoned = true;
+        mEnded.run();
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/request/RequestMetrics.java
+++ b/daemon/src/main/java/org/redwingladder/request/RequestMetrics.java
@@ -65,9 +65,7 @@
     void answer(String service, @Nullable WorkClass workClass, long nanos) {
         mAnswers.inc();
         String name =
-                workClass == null
-                        ? "learned"
-                        : workClass == WorkClass.SHORT ? "short" : "long";
+                workClass == null ? "learned" : workClass == WorkClass.SHORT ? "short" : "long";
         mLatencies
                 .computeIfAbsent("latency." + service + "." + name, this::histogram)
                 .update(TimeUnit.NANOSECONDS.toMicros(nanos));
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -16,6 +16,7 @@
 import org.redwingladder.http.HttpCaller;
 import org.redwingladder.http.NotSentException;
 import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
 import org.redwingladder.limits.BitPacer;
 import org.redwingladder.limits.SiteLimits;
 import org.redwingladder.routing.AttemptKind;
@@ -97,8 +98,7 @@
         run(
                 () -> {
                     mStopped = true;
-                    carryOut(
-                            mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
+                    carryOut(mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
                 });
     }
 
@@ -214,8 +214,7 @@
             mDispatcher.completed(send.attempt(), AttemptResult.SHED, mTime.nanos());
             return;
         }
-        BackendAttempt attempt =
-                new BackendAttempt(this, request, send.attempt(), send.backend());
+        BackendAttempt attempt = new BackendAttempt(this, request, send.attempt(), send.backend());
         mAttempts.put(send.attempt(), attempt);
         if (send.kind() == AttemptKind.HEDGE) {
             mMetrics.hedge();
@@ -240,8 +239,7 @@
                         mRequests.remove(request.siteRequest().id());
                         request.sink().refused(notConfirmed());
                     }
-                    carryOut(
-                            mDispatcher.cancelled(request.siteRequest().id(), mTime.nanos()));
+                    carryOut(mDispatcher.cancelled(request.siteRequest().id(), mTime.nanos()));
                 });
     }
 
@@ -254,8 +252,25 @@
         StreamedAnswer streamed = attempt.streamedAnswer();
         if (streamed != null) {
             request.sink().streamed(streamed, attempt.backend(), transfer(attempt));
-        } else if (attempt.wholeAnswer() != null) {
-            request.sink().whole(attempt.wholeAnswer(), attempt.backend());
+            return;
+        }
+        WholeAnswer whole = attempt.wholeAnswer();
+        if (whole == null) {
+            throw new IllegalStateException("nothing to deliver");
+        }
+        long delay =
+                whole.body().length == 0
+                        ? 0
+                        : pacer(request.inbound().fromZone()).delayNanos(whole.body().length);
+        if (delay <= 0) {
+            request.sink().whole(whole, attempt.backend());
+        } else {
+            mCaller.worker()
+                    .getIoThread()
+                    .executeAfter(
+                            () -> request.sink().whole(whole, attempt.backend()),
+                            delay,
+                            TimeUnit.NANOSECONDS);
         }
     }
 
@@ -311,7 +326,7 @@
     /** Takes the head of a long answer. */
     void answerBegan(BackendAttempt attempt, StreamedAnswer answer) {
         if (!mAttempts.containsKey(attempt.number())) {
-            answer.discard();
+            answer.discard(transfer(attempt).handler());
             return;
         }
         report(attempt.backend(), answer.headers());
@@ -372,11 +387,6 @@
         return sendAt - now;
     }
 
-    /** Returns how long a whole answer to a zone has to wait for its link. */
-    long linkDelayNanos(String zone, int bytes) {
-        return bytes == 0 ? 0 : pacer(zone).delayNanos(bytes);
-    }
-
     void logStart() {
         LOG.atInfo().log("dispatch: started site %s", mSpec.config().service());
     }
--- a/http/src/main/java/org/redwingladder/http/AnswerStream.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerStream.java
@@ -54,7 +54,10 @@
     }
 
     @Override
-    public void discard() {
+    public void discard(TransferHandler handler) {
+        synchronized (this) {
+            mHandler = handler;
+        }
         mCall.cancel();
     }
 
--- a/http/src/main/java/org/redwingladder/http/HttpCaller.java
+++ b/http/src/main/java/org/redwingladder/http/HttpCaller.java
@@ -178,7 +178,8 @@
     }
 
     /** Turns a result into a future. */
-    private static final class FutureHandler implements AnswerHandler {
+    private static final class FutureHandler
+            implements AnswerHandler, StreamedAnswer.TransferHandler {
         private final CompletableFuture<WholeAnswer> mFuture = new CompletableFuture<>();
 
         CompletableFuture<WholeAnswer> future() {
@@ -192,8 +193,12 @@
 
         @Override
         public void streamed(StreamedAnswer answer) {
-            answer.discard();
-            mFuture.completeExceptionally(new BadAnswerException("the answer is too long"));
+            answer.discard(this);
+        }
+
+        @Override
+        public void transferred(long bytes) {
+            throw new IllegalStateException("a discarded answer was transferred");
         }
 
         @Override
--- a/http/src/main/java/org/redwingladder/http/StreamedAnswer.java
+++ b/http/src/main/java/org/redwingladder/http/StreamedAnswer.java
@@ -39,6 +39,6 @@
      */
     void transferTo(HttpServerExchange exchange, Pacer pacer, TransferHandler handler);
 
-    /** Gives the answer up by closing its connection. */
-    void discard();
+    /** Gives the answer up by closing its connection; the handler learns that it was cancelled. */
+    void discard(TransferHandler handler);
 }
