Let core compile after the outcome of a copied request

Work of which a hedge or probe was sent is refused with the outcome unknown, since the copy may have run it.

--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -172,24 +172,17 @@
 
     private Refuse refusal(Flight flight, AttemptResult result, long nowNanos) {
         long retryAt = nowNanos + mSite.times(flight.mWorkClass).meanNanos();
+        boolean neverRan =
+                result == AttemptResult.SHED || result == AttemptResult.REFUSED_CONNECTION;
+        RefusalReason reason = RefusalReason.BACKEND_LOST;
+        if (result == AttemptResult.SHED) {
+            reason = RefusalReason.BACKEND_SHED;
+        } else if (result == AttemptResult.BAD_ANSWER) {
+            reason = RefusalReason.BACKEND_BAD_ANSWER;
+        }
         // A hedge or a probe may have run the work, whatever this attempt says.
-        return switch (result) {
-            case SHED, REFUSED_CONNECTION ->
-                    new Refuse(
-                            flight.mRequest,
-                            RefusalReason.BACKEND_SHED,
-                            notRun ? Outcome.NOT_RUN : Outcome.UNKNOWN,
-                            retryAt);
-            case BAD_ANSWER ->
-                    new Refuse(
-                            flight.mRequest,
-                            RefusalReason.BACKEND_BAD_ANSWER,
-                            Outcome.UNKNOWN,
-                            retryAt);
-            case LOST, ANSWERED ->
-                    new Refuse(
-                            flight.mRequest, RefusalReason.BACKEND_LOST, Outcome.UNKNOWN, retryAt);
-        };
+        Outcome outcome = neverRan && !flight.mCopied ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+        return new Refuse(flight.mRequest, reason, outcome, retryAt);
     }
 
     private void judge(Attempt attempt, AttemptResult result, long nowNanos) {
