--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/Acks.java
@@ -0,0 +1,35 @@
+package org.redwingladder.settings;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Holds the lowest settings version that each zone still serves by, as it was read.
+ *
+ * <p>A zone without an entry has never served: a zone writes its entry, at the newest version,
+ * before its first member is ready. This holds only for versions accepted before the reading, so
+ * every reading states the version that was known when it began.
+ *
+ * @param asOf the version that was known before the entries were read
+ * @param byZone the lowest version in use, by zone
+ */
+public record Acks(long asOf, SortedMap<String, Long> byZone) {
+
+    public Acks {
+        byZone = Collections.unmodifiableSortedMap(new TreeMap<>(byZone));
+    }
+
+    /** Returns acknowledgements with a copy of {@code byZone}. */
+    public static Acks of(long asOf, Map<String, Long> byZone) {
+        return new Acks(asOf, new TreeMap<>(byZone));
+    }
+
+    /** Returns the acknowledgements as known from this and a second reading; entries only rise. */
+    public Acks merge(Acks other) {
+        TreeMap<String, Long> merged = new TreeMap<>(byZone);
+        other.byZone.forEach((zone, version) -> merged.merge(zone, version, Math::max));
+        return new Acks(Math.max(asOf, other.asOf), merged);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/DeploymentRules.java
@@ -0,0 +1,201 @@
+package org.redwingladder.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Checks what the fields of the deployment's part must be to each other. */
+final class DeploymentRules {
+    private static final String ROOT = "/" + Deployment.TEAM;
+
+    private final JsonNode mDeployment;
+    private final JsonNode mTeams;
+    private final List<SettingsError> mErrors;
+    private final Map<String, String> mRegionsByZone;
+
+    private DeploymentRules(JsonNode document, List<SettingsError> errors) {
+        mDeployment = document.path(Deployment.TEAM);
+        mTeams = document.path("teams");
+        mErrors = errors;
+        mRegionsByZone = regionsByZone(document);
+    }
+
+    static void check(JsonNode document, List<SettingsError> errors) {
+        DeploymentRules rules = new DeploymentRules(document, errors);
+        rules.checkRegions();
+        rules.checkDistances();
+        rules.checkLinks();
+        rules.checkBlocks();
+        rules.checkTeams();
+    }
+
+    /** Returns the region of each zone; a zone of two regions gets the first. */
+    static Map<String, String> regionsByZone(JsonNode document) {
+        Map<String, String> found = new TreeMap<>();
+        for (Map.Entry<String, JsonNode> region :
+                document.path(Deployment.TEAM).path("regions").properties()) {
+            for (JsonNode zone : region.getValue().path("zones")) {
+                if (zone.isTextual()) {
+                    found.putIfAbsent(zone.textValue(), region.getKey());
+                }
+            }
+        }
+        return found;
+    }
+
+    private void checkRegions() {
+        JsonNode regions = mDeployment.path("regions");
+        Set<String> seen = new HashSet<>();
+        for (Map.Entry<String, JsonNode> region : regions.properties()) {
+            String path = Shape.below(ROOT + "/regions", region.getKey());
+            if (region.getKey().equals(Cap.ANY)) {
+                error(path, "\"any\" stands for all zones", "another name");
+            }
+            JsonNode zones = region.getValue().path("zones");
+            for (int i = 0; i < zones.size(); i++) {
+                String zone = zones.path(i).asText();
+                String at = path + "/zones/" + i;
+                if (!seen.add(zone)) {
+                    error(at, "zone " + zone + " is named twice", "a zone in one region, once");
+                }
+                if (zone.equals(Cap.ANY) || regions.has(zone)) {
+                    error(
+                            at,
+                            "zone " + zone + " has the name of a region or \"any\"",
+                            "a name of its own");
+                }
+            }
+        }
+    }
+
+    private void checkDistances() {
+        Set<String> seen = new HashSet<>();
+        for (Map.Entry<String, JsonNode> distance : mDeployment.path("distances").properties()) {
+            String path = Shape.below(ROOT + "/distances", distance.getKey());
+            JsonNode between = distance.getValue().path("between");
+            Set<String> pair = new TreeSet<>();
+            for (int i = 0; i < between.size(); i++) {
+                checkRegion(between.path(i), path + "/between/" + i);
+                pair.add(between.path(i).asText());
+            }
+            if (!pair.isEmpty() && !seen.add(pair.toString())) {
+                error(path, "the distance " + pair + " is stated twice", "one for each pair");
+            }
+        }
+    }
+
+    private void checkLinks() {
+        Set<String> seen = new HashSet<>();
+        for (Map.Entry<String, JsonNode> link : mDeployment.path("links").properties()) {
+            String path = Shape.below(ROOT + "/links", link.getKey());
+            JsonNode from = link.getValue().path("from");
+            JsonNode to = link.getValue().path("to");
+            checkRegion(from, path + "/from");
+            checkRegion(to, path + "/to");
+            if (from.isTextual() && from.equals(to)) {
+                error(path + "/to", "the link ends where it starts", "another region");
+            }
+            if (from.isTextual() && to.isTextual() && !seen.add(from + " " + to)) {
+                error(
+                        path,
+                        "the link from " + from + " to " + to + " is stated twice",
+                        "one for each direction");
+            }
+        }
+    }
+
+    private record Range(String path, long first, long last) {}
+
+    private void checkBlocks() {
+        long count = mDeployment.path("blockCount").asLong();
+        List<Range> ranges = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> block : mDeployment.path("blocks").properties()) {
+            String path = Shape.below(ROOT + "/blocks", block.getKey());
+            JsonNode value = block.getValue();
+            checkRegion(value.path("region"), path + "/region");
+            if (!value.path("first").isIntegralNumber() || !value.path("last").isIntegralNumber()) {
+                continue;
+            }
+            Range range =
+                    new Range(path, value.path("first").asLong(), value.path("last").asLong());
+            if (range.last >= count) {
+                error(path + "/last", range.last + " is not a block", "at most " + (count - 1));
+            }
+            if (range.first > range.last) {
+                error(path + "/first", range.first + " is above last", "at most " + range.last);
+            }
+            ranges.add(range);
+        }
+        ranges.sort(Comparator.comparingLong(Range::first));
+        long next = 0;
+        for (Range range : ranges) {
+            if (range.first != next) {
+                error(
+                        range.path + "/first",
+                        range.first < next
+                                ? "the range overlaps another"
+                                : "blocks before it are missing",
+                        String.valueOf(next));
+            }
+            next = Math.max(next, range.last + 1);
+        }
+        if (next < count) {
+            error(
+                    ROOT + "/blocks",
+                    "blocks from " + next + " are in no range",
+                    "ranges from 0 to " + (count - 1));
+        }
+    }
+
+    private void checkTeams() {
+        JsonNode keys = mDeployment.path("teams");
+        if (keys.isObject() && !keys.has(Deployment.TEAM)) {
+            error(
+                    ROOT + "/teams/" + Deployment.TEAM,
+                    "missing team",
+                    "the team deployment must have a key");
+        }
+        for (Map.Entry<String, JsonNode> team : mTeams.properties()) {
+            String path = Shape.below("/teams", team.getKey());
+            if (team.getKey().equals(Deployment.TEAM)) {
+                error(path, "the team deployment owns /deployment only", "another team");
+            } else if (!keys.has(team.getKey())) {
+                error(path, "unknown team", names(keys));
+            }
+        }
+    }
+
+    private void checkRegion(JsonNode name, String path) {
+        JsonNode regions = mDeployment.path("regions");
+        if (name.isTextual() && !regions.has(name.textValue())) {
+            String hint = mRegionsByZone.containsKey(name.textValue()) ? " (it is a zone)" : "";
+            error(path, "unknown region " + name + hint, names(regions));
+        }
+    }
+
+    /** Lists the names of {@code object}'s members, as far as they fit a message. */
+    static String names(JsonNode object) {
+        List<String> names = new ArrayList<>();
+        object.fieldNames().forEachRemaining(names::add);
+        return list(names);
+    }
+
+    /** Joins {@code names}, as far as they fit a message. */
+    static String list(List<String> names) {
+        if (names.isEmpty()) {
+            return "none is defined";
+        }
+        List<String> sorted = names.stream().sorted().limit(20).toList();
+        return String.join(", ", sorted) + (names.size() > 20 ? ", ..." : "");
+    }
+
+    private void error(String path, String message, String allowed) {
+        mErrors.add(new SettingsError(path, message, allowed));
+    }
+}
--- a/core/src/main/java/org/redwingladder/settings/Settings.java
+++ b/core/src/main/java/org/redwingladder/settings/Settings.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -28,6 +27,7 @@
     private final SortedMap<String, BackendServer> mBackendServers;
     private final SortedMap<String, Cap> mCaps;
     private final Map<Site, SortedMap<String, BackendServer>> mBackendsBySite;
+    private final Map<String, List<String>> mServicesByZone;
     private final Map<String, Double> mMillis;
 
     private Settings(Deployment deployment, Map<String, TeamSettings> teams) {
@@ -56,6 +56,16 @@
                                         new Site(b.service(), b.zone()), s -> new TreeMap<>())
                                 .put(name, b));
         mBackendsBySite = bySite;
+        Map<String, List<String>> byZone = new HashMap<>();
+        services.forEach(
+                (name, service) ->
+                        service.zones()
+                                .keySet()
+                                .forEach(
+                                        zone ->
+                                                byZone.computeIfAbsent(zone, z -> new ArrayList<>())
+                                                        .add(name)));
+        mServicesByZone = byZone;
         Map<String, Double> millis = new HashMap<>();
         for (Distance d : deployment.distances().values()) {
             if (d.between().size() == 2) {
@@ -81,19 +91,16 @@
     }
 
     /** Returns the number of client blocks. */
-    @JsonIgnore
     public int blockCount() {
         return mDeployment.blockCount();
     }
 
     /** Returns how long a look-up answer may be used, in milliseconds. */
-    @JsonIgnore
     public long lookupLifetimeMillis() {
         return mDeployment.lookupLifetimeMillis();
     }
 
     /** Returns the regions, by name. */
-    @JsonIgnore
     public SortedMap<String, Region> regions() {
         return mDeployment.regions();
     }
@@ -142,6 +149,11 @@
         return sites;
     }
 
+    /** Returns the names of the services that have a site in {@code zone}, in order. */
+    public List<String> servicesIn(String zone) {
+        return mServicesByZone.getOrDefault(zone, List.of());
+    }
+
     /** Returns whether {@code scope} (a zone, a region or {@code any}) holds {@code zone}. */
     public boolean covers(String scope, String zone) {
         return scope.equals(Cap.ANY)
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/settings/TeamRules.java
@@ -0,0 +1,269 @@
+package org.redwingladder.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Checks what the teams' services, backend servers and caps must be to each other. */
+final class TeamRules {
+    /**
+     * Is the least that an answer takes on a link: a status line and the headers of the protocol. A
+     * rate above the link's rate divided by it can never be carried.
+     */
+    static final long LEAST_ANSWER_BITS = 8 * 200;
+
+    /** Limits sites to what a look-up table can number in a {@code short}. */
+    private static final int MAX_SITES = Short.MAX_VALUE;
+
+    private final JsonNode mDocument;
+    private final List<SettingsError> mErrors;
+    private final Map<String, String> mRegionsByZone;
+    private final Map<String, String> mTeamsByService = new TreeMap<>();
+    private final Map<String, JsonNode> mServices = new HashMap<>();
+    private final Map<String, String> mPaths = new HashMap<>();
+
+    private TeamRules(JsonNode document, List<SettingsError> errors) {
+        mDocument = document;
+        mErrors = errors;
+        mRegionsByZone = DeploymentRules.regionsByZone(document);
+    }
+
+    static void check(JsonNode document, List<SettingsError> errors) {
+        TeamRules rules = new TeamRules(document, errors);
+        rules.checkServices();
+        rules.checkBackendServers();
+        rules.checkCaps();
+    }
+
+    private interface MemberCheck {
+        void check(String team, String path, JsonNode member);
+    }
+
+    /** Visits the members of one collection of all teams; their names must be unique. */
+    private void forEach(String collection, MemberCheck check) {
+        for (Map.Entry<String, JsonNode> team : mDocument.path("teams").properties()) {
+            String root = Shape.below("/teams", team.getKey()) + "/" + collection;
+            for (Map.Entry<String, JsonNode> member :
+                    team.getValue().path(collection).properties()) {
+                String path = Shape.below(root, member.getKey());
+                String other = mPaths.putIfAbsent(collection + "/" + member.getKey(), path);
+                if (other != null) {
+                    error(path, "the name is used at " + other + " too", "a name of its own");
+                }
+                check.check(team.getKey(), path, member.getValue());
+            }
+        }
+    }
+
+    private void checkServices() {
+        int[] sites = {0};
+        forEach(
+                "services",
+                (team, path, service) -> {
+                    String name = path.substring(path.lastIndexOf('/') + 1);
+                    mTeamsByService.putIfAbsent(name, team);
+                    mServices.putIfAbsent(name, service);
+                    checkSites(path, service);
+                    checkClasses(path, service);
+                    sites[0] += service.path("zones").size();
+                });
+        if (sites[0] > MAX_SITES) {
+            error("/teams", sites[0] + " sites", "at most " + MAX_SITES + " over all services");
+        }
+    }
+
+    private void checkSites(String path, JsonNode service) {
+        JsonNode zones = service.path("zones");
+        if (!zones.isObject()) {
+            return;
+        }
+        boolean chosen = false;
+        for (Map.Entry<String, JsonNode> zone : zones.properties()) {
+            checkZone(zone.getKey(), Shape.below(path + "/zones", zone.getKey()));
+            chosen |= zone.getValue().path("weight").asLong() > 0;
+        }
+        if (zones.isEmpty()) {
+            error(path + "/zones", "the service has no zone", "at least one zone");
+        } else if (!chosen) {
+            error(path + "/zones", "no zone has a weight", "a weight above 0 in at least one");
+        }
+    }
+
+    private void checkClasses(String path, JsonNode service) {
+        Set<String> prefixes = new HashSet<>();
+        for (Map.Entry<String, JsonNode> rule : service.path("classes").properties()) {
+            JsonNode prefix = rule.getValue().path("pathPrefix");
+            if (prefix.isTextual() && !prefixes.add(prefix.textValue())) {
+                error(
+                        Shape.below(path + "/classes", rule.getKey()) + "/pathPrefix",
+                        "the prefix " + prefix + " is stated twice",
+                        "one class for each prefix");
+            }
+        }
+    }
+
+    private void checkBackendServers() {
+        Map<String, String> addresses = new HashMap<>();
+        forEach(
+                "backendServers",
+                (team, path, backend) -> {
+                    JsonNode service = checkService(team, path, backend.path("service"));
+                    JsonNode zone = backend.path("zone");
+                    if (zone.isTextual()
+                            && checkZone(zone.textValue(), path + "/zone")
+                            && service != null
+                            && !service.path("zones").has(zone.textValue())) {
+                        error(
+                                path + "/zone",
+                                "the service has no site in zone " + zone.textValue(),
+                                DeploymentRules.names(service.path("zones")));
+                    }
+                    checkAddress(path + "/address", backend.path("address"), addresses);
+                });
+    }
+
+    private void checkAddress(String path, JsonNode address, Map<String, String> seen) {
+        if (!address.isTextual()) {
+            return;
+        }
+        String other = seen.putIfAbsent(address.textValue(), path);
+        if (other != null) {
+            error(path, "the address is used at " + other + " too", "an address of its own");
+        }
+        String[] parts = address.textValue().split("[.:]");
+        if (parts.length == 5) {
+            for (int i = 0; i < parts.length; i++) {
+                int most = i < 4 ? 255 : 65_535;
+                if (parts[i].matches("[0-9]{1,5}") && Integer.parseInt(parts[i]) > most) {
+                    error(path, parts[i] + " is out of range", "at most " + most);
+                }
+            }
+        }
+    }
+
+    private void checkCaps() {
+        forEach(
+                "caps",
+                (team, path, cap) -> {
+                    JsonNode service = checkService(team, path, cap.path("service"));
+                    boolean known =
+                            checkScope(cap.path("from"), path + "/from")
+                                    & checkScope(cap.path("to"), path + "/to");
+                    if (!cap.has("requestsPerSecond") && !cap.has("inFlight")) {
+                        error(
+                                path,
+                                "the cap limits nothing",
+                                "requestsPerSecond, inFlight or both");
+                    }
+                    if (known && service != null) {
+                        checkCapSites(path, cap, service);
+                        checkCapLink(path, cap);
+                    }
+                });
+    }
+
+    private void checkCapSites(String path, JsonNode cap, JsonNode service) {
+        String to = cap.path("to").asText();
+        for (Map.Entry<String, JsonNode> zone : service.path("zones").properties()) {
+            if (covers(to, zone.getKey())) {
+                return;
+            }
+        }
+        error(
+                path + "/to",
+                "the service has no site in " + to,
+                DeploymentRules.names(service.path("zones")));
+    }
+
+    /** Checks a cap between two regions against the link that carries the answers. */
+    private void checkCapLink(String path, JsonNode cap) {
+        String asking = region(cap.path("from").asText());
+        String answering = region(cap.path("to").asText());
+        if (asking == null || answering == null || asking.equals(answering)) {
+            return;
+        }
+        for (JsonNode link : mDocument.path(Deployment.TEAM).path("links")) {
+            long most = link.path("bitsPerSecond").asLong() / LEAST_ANSWER_BITS;
+            if (link.path("from").asText().equals(answering)
+                    && link.path("to").asText().equals(asking)
+                    && cap.path("requestsPerSecond").asLong() > most) {
+                error(
+                        path + "/requestsPerSecond",
+                        "the link from "
+                                + answering
+                                + " to "
+                                + asking
+                                + " cannot carry the answers",
+                        "at most " + most);
+            }
+        }
+    }
+
+    private @Nullable JsonNode checkService(String team, String path, JsonNode name) {
+        if (!name.isTextual()) {
+            return null;
+        }
+        String owner = mTeamsByService.get(name.textValue());
+        if (owner != null && owner.equals(team)) {
+            return mServices.get(name.textValue());
+        }
+        List<String> own = new ArrayList<>();
+        mTeamsByService.forEach(
+                (service, t) -> {
+                    if (t.equals(team)) {
+                        own.add(service);
+                    }
+                });
+        String fault = owner == null ? "unknown service " : "another team's service ";
+        error(path + "/service", fault + name.textValue(), DeploymentRules.list(own));
+        return null;
+    }
+
+    private boolean checkZone(String zone, String path) {
+        if (mRegionsByZone.containsKey(zone)) {
+            return true;
+        }
+        error(path, "unknown zone " + zone, list(mRegionsByZone.keySet()));
+        return false;
+    }
+
+    private boolean checkScope(JsonNode scope, String path) {
+        if (!scope.isTextual()) {
+            return false;
+        }
+        String name = scope.textValue();
+        if (name.equals(Cap.ANY) || region(name) != null) {
+            return true;
+        }
+        Set<String> allowed = new HashSet<>(mRegionsByZone.keySet());
+        allowed.addAll(mRegionsByZone.values());
+        allowed.add(Cap.ANY);
+        error(path, "unknown zone or region " + name, list(allowed));
+        return false;
+    }
+
+    private boolean covers(String scope, String zone) {
+        return scope.equals(Cap.ANY)
+                || scope.equals(zone)
+                || scope.equals(mRegionsByZone.get(zone));
+    }
+
+    /** Returns the region that {@code scope} is or lies in, or null for {@code any}. */
+    private @Nullable String region(String scope) {
+        return mRegionsByZone.containsValue(scope) ? scope : mRegionsByZone.get(scope);
+    }
+
+    private static String list(Set<String> names) {
+        return DeploymentRules.list(new ArrayList<>(names));
+    }
+
+    private void error(String path, String message, String allowed) {
+        mErrors.add(new SettingsError(path, message, allowed));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
@@ -0,0 +1,156 @@
+package org.redwingladder.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SettingsOrderTest {
+    private static SettingsOrder atVersion(long version) {
+        SettingsOrder order = SettingsOrder.create(100);
+        order.accept(Documents.tree(version));
+        return order;
+    }
+
+    private static long rateOf(SettingsOrder order) {
+        return order.history()
+                .lastEntry()
+                .getValue()
+                .caps()
+                .get("checkout-any")
+                .requestsPerSecond();
+    }
+
+    @Nested
+    class Tree {
+        /** Guards against a team that changes another team's subtree. */
+        @Test
+        void refusesForeignPath() {
+            Change change = new Change(2, "c", "press", "/teams/store/caps", null, "ana", 0);
+
+            assertThatThrownBy(() -> Documents.tree(1).apply(change))
+                    .isInstanceOf(SettingsException.class)
+                    .hasMessageContaining("team press does not own this path");
+        }
+
+        /** Guards against paths that no team owns, or whose parent is absent. */
+        @Test
+        void refusesPathsOutsideSubtrees() {
+            for (String path : List.of("", "/", "/teams", "x", "/teams/store/a/b/c")) {
+                Change change = new Change(2, "c", "store", path, null, "ana", 0);
+                assertThatThrownBy(() -> Documents.tree(1).apply(change))
+                        .as(path)
+                        .isInstanceOf(SettingsException.class);
+            }
+        }
+
+        /** Guards against an update in place, and against a subtree version that stands still. */
+        @Test
+        void leavesTheOldTreeAsItWas() throws Exception {
+            SettingsTree old = Documents.tree(1);
+            SettingsTree changed = old.apply(Documents.rate(2, 7));
+
+            assertThat(old).isEqualTo(Documents.tree(1));
+            assertThat(changed.subtreeVersion("store")).isEqualTo(2);
+            assertThat(changed.subtreeVersion("deployment")).isEqualTo(1);
+            assertThat(changed.valueAt("/teams/store/caps/checkout-any/requestsPerSecond"))
+                    .hasToString("7");
+        }
+    }
+
+    @Nested
+    class Order {
+        /** Guards against a late or repeated change that takes the version back. */
+        @Test
+        void ignoresOldChangesAndSnapshots() {
+            SettingsOrder order = atVersion(5);
+            order.accept(Documents.rate(6, 60));
+
+            assertThat(order.accept(Documents.rate(6, 66)))
+                    .isEqualTo(new SettingsOrder.Result.NotNewer());
+            assertThat(order.accept(Documents.tree(5)))
+                    .isEqualTo(new SettingsOrder.Result.NotNewer());
+            assertThat(rateOf(order)).isEqualTo(60);
+        }
+
+        /** Guards against a change applied over a gap. */
+        @Test
+        void reportsGap() {
+            SettingsOrder order = atVersion(5);
+
+            assertThat(order.accept(Documents.rate(8, 80)))
+                    .isEqualTo(new SettingsOrder.Result.Gap(5, 8));
+            assertThat(order.version()).isEqualTo(5);
+        }
+
+        /** Guards against a peer's changes that make the document invalid. */
+        @Test
+        void keepsTheVersionWhenTheDocumentWouldBeInvalid() {
+            SettingsOrder order = atVersion(5);
+
+            assertThat(order.accept(Documents.rate(6, -1)))
+                    .isInstanceOf(SettingsOrder.Result.Rejected.class);
+            assertThat(order.version()).isEqualTo(5);
+        }
+
+        /** Guards against handing on a list of changes with a hole in it. */
+        @Test
+        void handsOnOnlyCompleteSequences() {
+            SettingsOrder order = SettingsOrder.create(3);
+            order.accept(Documents.tree(1));
+            for (long v = 2; v <= 6; v++) {
+                order.accept(Documents.rate(v, v));
+            }
+
+            assertThat(order.changesAfter(1)).isEmpty();
+            assertThat(order.changesAfter(4)).extracting(Change::version).containsExactly(5L, 6L);
+            assertThat(order.history()).containsOnlyKeys(4L, 5L, 6L);
+        }
+    }
+
+    /** Guards against any order of delivery that lowers the version or ends at another document. */
+    @Property(tries = 100, seed = "42")
+    void anyDeliveryEndsAtTheSameDocument(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Change> all = new ArrayList<>();
+        for (long v = 2; v <= 12; v++) {
+            all.add(Documents.rate(v, v * 10));
+        }
+        SettingsOrder order = atVersion(1);
+        NewestOffer naive = new NewestOffer();
+        long last = 1;
+        boolean naiveFell = false;
+        long naiveLast = 1;
+        while (order.version() < 12) {
+            List<Change> delivery = new ArrayList<>(all);
+            Collections.shuffle(delivery, random);
+            for (Change change : delivery) {
+                order.accept(change);
+                naive.accept(change);
+                assertThat(order.version()).isGreaterThanOrEqualTo(last);
+                assertThat(rateOf(order))
+                        .isEqualTo(order.version() == 1 ? 100 : order.version() * 10);
+                last = order.version();
+                naiveFell |= naive.mVersion < naiveLast;
+                naiveLast = naive.mVersion;
+            }
+        }
+        assertThat(naiveFell).as("the naive version goes back").isTrue();
+    }
+
+    /** Takes whatever comes last, as a poll of a lagging source would. */
+    private static final class NewestOffer {
+        private long mVersion = 1;
+
+        void accept(Change change) {
+            mVersion = change.version();
+        }
+    }
+}
