--- a/core/src/main/java/org/redwingladder/membership/Heartbeat.java
+++ b/core/src/main/java/org/redwingladder/membership/Heartbeat.java
@@ -11,6 +11,7 @@
  * @param incarnation the sender's process
  * @param zone the sender's availability zone
  * @param epoch the latest epoch that the sender has adopted; 0 if it has none
+ * @param settledEpoch the settled epoch of that roster
  * @param settingsVersion the settings version that the sender serves by
  * @param sentAt when the heartbeat was sent, in epoch milliseconds
  * @param peerAddress the sender's peer listener
@@ -26,6 +27,7 @@
         long incarnation,
         String zone,
         long epoch,
+        long settledEpoch,
         long settingsVersion,
         long sentAt,
         String peerAddress,
@@ -54,6 +56,7 @@
                 incarnation,
                 zone,
                 epoch,
+                settledEpoch,
                 settingsVersion,
                 epochMillis,
                 peerAddress,
--- a/core/src/main/java/org/redwingladder/membership/HeartbeatAnswer.java
+++ b/core/src/main/java/org/redwingladder/membership/HeartbeatAnswer.java
@@ -10,15 +10,17 @@
  * @param host the answering host
  * @param incarnation the answering process
  * @param epoch the latest epoch that the answering process has adopted; 0 if it has none
+ * @param settledEpoch the settled epoch of that roster
  * @param accepted whether the heartbeat's epoch is acknowledged
  * @param settingsVersion the settings version that the answering process serves by
- * @param roster the roster of {@code epoch} when the sender of the heartbeat lacks it
+ * @param roster the answering process's roster when the sender of the heartbeat lacks it
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record HeartbeatAnswer(
         String host,
         long incarnation,
         long epoch,
+        long settledEpoch,
         boolean accepted,
         long settingsVersion,
         @Nullable Roster roster) {
--- a/core/src/main/java/org/redwingladder/membership/Roster.java
+++ b/core/src/main/java/org/redwingladder/membership/Roster.java
@@ -18,6 +18,8 @@
  *     because the settle wait is only right when all members use the same one
  * @param previous the members of the epoch before while {@code settledEpoch < epoch}, else empty;
  *     kept in the row so that any member can settle the epoch after its writer has died
+ * @param settleWaitMillis the settle wait that follows from the heartbeat interval of the epoch
+ *     before, 0 once the epoch is settled
  */
 public record Roster(
         String zone,
@@ -26,11 +28,13 @@
         long settledEpoch,
         long settingsFloor,
         long heartbeatMillis,
-        List<Member> previous) {
+        List<Member> previous,
+        long settleWaitMillis) {
 
     /** Limits the voters of an epoch. */
     public static final int MAX_VOTERS = 7;
 
+    /** Copies the lists. */
     public Roster {
         requireNonNull(zone, "zone");
         members = List.copyOf(members);
@@ -44,7 +48,7 @@
 
     /** Returns the first roster of a zone. */
     public static Roster first(String zone, Member member, long floor, long heartbeatMillis) {
-        return new Roster(zone, 1, List.of(member), 1, floor, heartbeatMillis, List.of());
+        return new Roster(zone, 1, List.of(member), 1, floor, heartbeatMillis, List.of(), 0);
     }
 
     /** Returns whether owners of this epoch may start without a release. */
@@ -85,7 +89,8 @@
 
     /** Returns this roster with its epoch settled. */
     public Roster settle() {
-        return new Roster(zone, epoch, members, epoch, settingsFloor, heartbeatMillis, List.of());
+        return new Roster(
+                zone, epoch, members, epoch, settingsFloor, heartbeatMillis, List.of(), 0);
     }
 
     /** Returns this roster with at least the given settings floor. */
@@ -97,7 +102,8 @@
                 settledEpoch,
                 Math.max(floor, settingsFloor),
                 heartbeatMillis,
-                previous);
+                previous,
+                settleWaitMillis);
     }
 
     /** Returns whether this roster holds later information than {@code other}. */
--- a/core/src/main/java/org/redwingladder/membership/RosterChange.java
+++ b/core/src/main/java/org/redwingladder/membership/RosterChange.java
@@ -62,6 +62,7 @@
                 roster.settledEpoch(),
                 roster.settingsFloor(),
                 heartbeatMillis,
-                roster.members());
+                roster.members(),
+                HeartbeatSchedule.settleWaitMillis(roster.heartbeatMillis()));
     }
 }
--- a/core/src/main/java/org/redwingladder/membership/SiteStart.java
+++ b/core/src/main/java/org/redwingladder/membership/SiteStart.java
@@ -13,6 +13,10 @@
      */
     record Released(int inFlight) implements SiteStart {}
 
-    /** The old owner ended without a report: any of its work may still run. */
-    record TakenOver() implements SiteStart {}
+    /**
+     * The old owner ended without a report: any of its work may still run.
+     *
+     * @param stoppedBy when it certainly sent nothing any more, in monotonic milliseconds
+     */
+    record TakenOver(long stoppedBy) implements SiteStart {}
 }
