--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsSink.java
@@ -0,0 +1,20 @@
+package org.redwingladder.control;
+
+import java.util.Map;
+import java.util.NavigableMap;
+import org.redwingladder.settings.Settings;
+
+/** Takes the settings in force. Called by one thread at a time. */
+public interface SettingsSink {
+
+    /**
+     * Takes the settings in force.
+     *
+     * @param versions the known settings by version; the last one is in force
+     * @param acks the lowest version that each zone still serves by, by zone
+     */
+    void settings(NavigableMap<Long, Settings> versions, Map<String, Long> acks);
+
+    /** Reports that the platform holds no settings yet. */
+    void noSettings();
+}
