--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -19,6 +19,7 @@
 import org.redwingladder.request.ClusterView;
 import org.redwingladder.request.ServiceSpec;
 import org.redwingladder.request.SiteSpec;
+import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.CapParts;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.settings.Site;
@@ -115,7 +116,7 @@
             for (String service : mView.sites()) {
                 Site site = new Site(service, mZone);
                 if (settings.sites().contains(site)) {
-                    CapParts parts = CapParts.of(mVersions, mAcks, site);
+                    CapParts parts = CapParts.of(mVersions, Acks.of(0, mAcks), site);
                     long until = carriedOver.getOrDefault(service, System.nanoTime());
                     sites.put(service, SiteSpec.of(settings, site, parts, mLeaving, until));
                 }
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -23,6 +23,7 @@
 import org.redwingladder.routing.AttemptResult;
 import org.redwingladder.routing.DispatchAction;
 import org.redwingladder.routing.LoadReport;
+import org.redwingladder.routing.ReportSource;
 import org.redwingladder.routing.SiteDispatcher;
 import org.redwingladder.routing.SiteRequest;
 import org.redwingladder.routing.SiteStatus;
@@ -105,7 +106,8 @@
     void loadReported(String backend, LoadReport report) {
         run(
                 () -> {
-                    mDispatcher.reported(backend, report, mTime.nanos());
+                    mDispatcher.reported(
+                            backend, report, ReportSource.LOAD_ENDPOINT, mTime.nanos());
                     dispatch();
                 });
     }
@@ -364,7 +366,7 @@
     private void report(String backend, HeaderMap headers) {
         LoadReport report = LoadHeaders.parse(headers);
         if (report != null) {
-            mDispatcher.reported(backend, report, mTime.nanos());
+            mDispatcher.reported(backend, report, ReportSource.ANSWER_HEADER, mTime.nanos());
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/FakeCluster.java
@@ -0,0 +1,146 @@
+package org.redwingladder.request;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.redwingladder.api.EntryHost;
+import org.redwingladder.api.LookupAnswer;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.limits.SiteCap;
+import org.redwingladder.routing.BackendSpec;
+import org.redwingladder.routing.SiteConfig;
+
+/** Holds the state of a cluster of one service, which each host of a test sees the same way. */
+final class FakeCluster {
+    static final String SERVICE = "shop";
+
+    final Map<String, InetSocketAddress> mPeers = new ConcurrentHashMap<>();
+    final Map<String, InetSocketAddress> mClients = new ConcurrentHashMap<>();
+    final Map<String, String> mOwnerByZone = new ConcurrentHashMap<>(new LinkedHashMap<>());
+    final Map<String, Map<String, InetSocketAddress>> mBackendsByZone = new ConcurrentHashMap<>();
+    final List<String> mZones = new CopyOnWriteArrayList<>();
+    final List<View> mViews = new CopyOnWriteArrayList<>();
+    volatile List<SiteCap> mCaps = List.of();
+    volatile int mSlots = 8;
+    volatile long mMaxRequestMillis = 10_000;
+
+    View view(String host, String zone) {
+        View view = new View(new ClusterView.Self(host, 1, zone));
+        mViews.add(view);
+        return view;
+    }
+
+    void changed() {
+        mViews.forEach(view -> view.mListeners.forEach(ClusterListener::changed));
+    }
+
+    /** Shows the cluster to one host. */
+    final class View implements ClusterView {
+        private final Self mSelf;
+        private final List<ClusterListener> mListeners = new CopyOnWriteArrayList<>();
+        volatile long mConfirmedForNanos = TimeUnit.SECONDS.toNanos(30);
+        volatile Readiness mReadiness = new Readiness(Readiness.State.READY, "");
+
+        View(Self self) {
+            mSelf = self;
+        }
+
+        @Override
+        public Self self() {
+            return mSelf;
+        }
+
+        @Override
+        public Readiness readiness() {
+            return mReadiness;
+        }
+
+        @Override
+        public long settingsVersion() {
+            return 7;
+        }
+
+        @Override
+        public int blockCount() {
+            return 1000;
+        }
+
+        @Override
+        public ServiceSpec service(String name) {
+            return SERVICE.equals(name)
+                    ? new ServiceSpec(SERVICE, mMaxRequestMillis, List.of())
+                    : null;
+        }
+
+        @Override
+        public List<String> sitesInOrder(String service, int block) {
+            return mZones;
+        }
+
+        @Override
+        public LookupAnswer lookup(String service, int block, long nowMillis) {
+            List<EntryHost> hosts = new ArrayList<>();
+            mClients.forEach(
+                    (host, address) ->
+                            hosts.add(new EntryHost(host, "any", Addresses.format(address))));
+            return new LookupAnswer(service, block, hosts, nowMillis + 5000, 7, null);
+        }
+
+        @Override
+        public Peer ownerOf(String zone, String service) {
+            String host = mOwnerByZone.get(zone);
+            return host == null ? null : host(host);
+        }
+
+        @Override
+        public Peer host(String name) {
+            InetSocketAddress address = mPeers.get(name);
+            return address == null ? null : new Peer(name, 1, "zone", address);
+        }
+
+        @Override
+        public Collection<String> ownedServices() {
+            return mSelf.host().equals(mOwnerByZone.get(mSelf.zone()))
+                    ? List.of(SERVICE)
+                    : List.of();
+        }
+
+        @Override
+        public SiteSpec ownedSite(String service) {
+            Map<String, InetSocketAddress> backends = mBackendsByZone.get(mSelf.zone());
+            List<BackendSpec> specs = new ArrayList<>();
+            backends.keySet().forEach(name -> specs.add(new BackendSpec(name, mSlots, 800, false)));
+            Map<String, String> regions = new HashMap<>();
+            mZones.forEach(zone -> regions.put(zone, "region"));
+            return new SiteSpec(
+                    new SiteConfig(
+                            SERVICE,
+                            TimeUnit.MILLISECONDS.toNanos(mMaxRequestMillis),
+                            0,
+                            66,
+                            specs),
+                    backends,
+                    regions,
+                    mCaps,
+                    Map.of(),
+                    0);
+        }
+
+        @Override
+        public long confirmedUntilNanos() {
+            return System.nanoTime() + mConfirmedForNanos;
+        }
+
+        @Override
+        public void addListener(ClusterListener listener) {
+            mListeners.add(listener);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/RawBackend.java
@@ -0,0 +1,162 @@
+package org.redwingladder.request;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Answers requests over plain sockets, so that a test can send any bytes at any time. */
+final class RawBackend implements AutoCloseable {
+    /** Answers one request; returns false to close the connection. */
+    interface Behaviour {
+        boolean answer(Received request, OutputStream out) throws IOException;
+    }
+
+    /** Holds a request and the number of the connection it came on. */
+    record Received(
+            String method, String path, Map<String, String> headers, byte[] body, int connection) {
+        String id() {
+            return headers.getOrDefault("redwing-request-id", "");
+        }
+    }
+
+    private final ServerSocket mServer;
+    private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final List<Received> mJournal = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mConnections = new AtomicInteger();
+    private volatile Behaviour mBehaviour;
+
+    RawBackend(Behaviour behaviour) throws IOException {
+        mBehaviour = behaviour;
+        mServer = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    void behave(Behaviour behaviour) {
+        mBehaviour = behaviour;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(mServer.getInetAddress(), mServer.getLocalPort());
+    }
+
+    /** Returns the requests that arrived whole, in order. */
+    List<Received> journal() {
+        return mJournal;
+    }
+
+    long runs(String requestId) {
+        return mJournal.stream().filter(r -> r.id().equals(requestId)).count();
+    }
+
+    int connections() {
+        return mConnections.get();
+    }
+
+    int open() {
+        return mSockets.size();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = mServer.accept();
+                mSockets.add(socket);
+                int number = mConnections.incrementAndGet();
+                Thread.ofVirtual().start(() -> serve(socket, number));
+            }
+        } catch (IOException e) {
+            // The test has closed the server.
+        }
+    }
+
+    private void serve(Socket socket, int number) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Received request = read(in, number);
+            while (request != null) {
+                mJournal.add(request);
+                if (!mBehaviour.answer(request, socket.getOutputStream())) {
+                    break;
+                }
+                request = read(in, number);
+            }
+        } catch (IOException e) {
+            // The other side has closed the connection.
+        } finally {
+            mSockets.remove(socket);
+        }
+    }
+
+    private static Received read(InputStream in, int number) throws IOException {
+        String start = line(in);
+        if (start == null) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = in.readNBytes(length);
+        String[] words = start.split(" ");
+        return body.length < length
+                ? null
+                : new Received(words[0], words[1], headers, body, number);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        int c = in.read();
+        while (c >= 0 && c != '\n') {
+            if (c != '\r') {
+                line.append((char) c);
+            }
+            c = in.read();
+        }
+        return c < 0 ? null : line.toString();
+    }
+
+    /** Writes an answer with the request's id and a correct length. */
+    static boolean answer(Received request, OutputStream out, int status, String body)
+            throws IOException {
+        out.write((head(request.id(), status, body.length()) + body).getBytes(ISO_8859_1));
+        return true;
+    }
+
+    static String head(String requestId, int status, int length) {
+        return "HTTP/1.1 "
+                + status
+                + " X\r\nRedwing-Request-Id: "
+                + requestId
+                + "\r\nContent-Length: "
+                + length
+                + "\r\n\r\n";
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+        for (Socket socket : mSockets) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/TestHost.java
@@ -0,0 +1,76 @@
+package org.redwingladder.request;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.redwingladder.http.CallerLimits;
+import org.redwingladder.http.HttpCaller;
+import org.redwingladder.http.HttpListener;
+import org.redwingladder.once.TokenSigner;
+import org.redwingladder.platform.PlatformClient;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Runs the request path of one entry host on ports that the system chooses. */
+final class TestHost implements AutoCloseable {
+    static final byte[] TOKEN_KEY = "0123456789abcdef0123456789abcdef".getBytes();
+
+    final String mName;
+    final FakeCluster.View mView;
+    final MetricRegistry mMetrics = new MetricRegistry();
+    final RequestPath mPath;
+    final HttpCaller mCaller;
+    private final XnioWorker mWorker;
+    private final HttpListener mClients;
+    private final HttpListener mPeers;
+
+    TestHost(FakeCluster cluster, String name, String zone, InetSocketAddress platform)
+            throws IOException {
+        mName = name;
+        mWorker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder()
+                                        .set(Options.WORKER_IO_THREADS, 2)
+                                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                                        .set(Options.THREAD_DAEMON, true)
+                                        .getMap());
+        DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024, 256, 4);
+        mCaller = HttpCaller.create(mWorker, buffers, CallerLimits.defaults());
+        mView = cluster.view(name, zone);
+        mPath =
+                RequestPath.create(
+                        mView,
+                        mCaller,
+                        PlatformClient.create(mCaller, List.of(platform)),
+                        TokenSigner.of(TOKEN_KEY),
+                        mMetrics);
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        mClients = HttpListener.open(any, mWorker, buffers, 1 << 20, mPath.clientHandler());
+        mPeers = HttpListener.open(any, mWorker, buffers, 1 << 20, mPath.peerHandler());
+        cluster.mPeers.put(name, mPeers.address());
+        cluster.mClients.put(name, mClients.address());
+    }
+
+    InetSocketAddress clientAddress() {
+        return mClients.address();
+    }
+
+    long counter(String name) {
+        return mMetrics.counter(name).getCount();
+    }
+
+    @Override
+    public void close() {
+        mClients.close();
+        mPeers.close();
+        mCaller.close();
+        mWorker.shutdownNow();
+    }
+}
