--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/control/OperatorRoutes.java
@@ -0,0 +1,145 @@
+package org.redwingladder.control;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.PathHandler;
+import io.undertow.util.Headers;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.membership.Roster;
+import org.redwingladder.membership.RosterInput;
+import org.redwingladder.supervisor.Supervisor;
+
+/** Routes of the operator listener: health, metrics, status, planned stop and members. */
+public final class OperatorRoutes {
+    private final ClusterState mState;
+    private final RosterDriver mRoster;
+    private final ControlLoop mLoop;
+    private final Supervisor mSupervisor;
+    private final MetricRegistry mMetrics;
+    private final Supplier<List<String>> mStopping;
+    private final Runnable mDrain;
+
+    /** Names the request to declare a host dead. */
+    record Remove(@Nullable String host, boolean dead) {}
+
+    /** Carries options of a planned stop; there are none yet. */
+    record Drain() {}
+
+    /**
+     * Creates the routes.
+     *
+     * @param stopping gives the state of a planned stop, empty if there is none
+     * @param drain begins a planned stop
+     */
+    public OperatorRoutes(
+            ClusterState state,
+            RosterDriver roster,
+            ControlLoop loop,
+            Supervisor supervisor,
+            MetricRegistry metrics,
+            Supplier<List<String>> stopping,
+            Runnable drain) {
+        mState = state;
+        mRoster = roster;
+        mLoop = loop;
+        mSupervisor = supervisor;
+        mMetrics = metrics;
+        mStopping = stopping;
+        mDrain = drain;
+    }
+
+    /** Adds the routes to {@code paths}. */
+    public void add(PathHandler paths) {
+        paths.addExactPath("/live", HttpJson.get(exchange -> Map.of("live", true)));
+        paths.addExactPath("/ready", this::ready);
+        paths.addExactPath("/metrics", this::metrics);
+        paths.addExactPath(
+                "/metrics.json", HttpJson.get(exchange -> MetricsText.tree(mMetrics)));
+        paths.addExactPath("/v1/status", HttpJson.get(exchange -> status()));
+        paths.addExactPath(
+                "/v1/drain",
+                HttpJson.post(
+                        Drain.class,
+                        drain -> {
+                            mDrain.run();
+                            return CompletableFuture.completedFuture(
+                                    Map.of("stopping", mStopping.get()));
+                        }));
+        paths.addExactPath("/v1/members/remove", HttpJson.post(Remove.class, this::remove));
+    }
+
+    /** Returns why this process should get no new clients; empty if it should. */
+    private List<String> notReady() {
+        List<String> reasons = new ArrayList<>(mStopping.get());
+        reasons.addAll(mState.notReady());
+        return reasons;
+    }
+
+    private void ready(HttpServerExchange exchange) {
+        List<String> reasons = notReady();
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("ready", reasons.isEmpty());
+        answer.put("reasons", reasons);
+        HttpJson.send(exchange, reasons.isEmpty() ? 200 : 503, answer);
+    }
+
+    private void metrics(HttpServerExchange exchange) {
+        exchange.getResponseHeaders()
+                .put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8");
+        exchange.getResponseSender().send(MetricsText.text(mMetrics));
+    }
+
+    private CompletableFuture<?> remove(Remove request) {
+        String host = request.host();
+        if (host == null || !request.dead()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException(
+                            "expected {\"host\": HOST, \"dead\": true}; dead states that the"
+                                    + " process has certainly ended"));
+        }
+        Roster roster = mState.roster();
+        boolean listed =
+                roster != null
+                        && (roster.memberOf(host) != null
+                                || roster.previous().stream()
+                                        .anyMatch(member -> member.host().equals(host)));
+        if (!listed) {
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException(
+                            "host " + host + " is no member of zone " + mState.zone()));
+        }
+        if (host.equals(mState.member().host())) {
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException("host " + host + " is the one that was asked"));
+        }
+        mRoster.report(new RosterInput.DeclaredDead(host));
+        return CompletableFuture.completedFuture(Map.of("host", host, "removing", true));
+    }
+
+    private Map<String, Object> status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("host", mState.member().host());
+        status.put("incarnation", mState.member().incarnation());
+        status.put("zone", mState.zone());
+        status.put("ready", notReady().isEmpty());
+        status.put("reasons", notReady());
+        status.put("settingsVersion", mState.settingsVersion());
+        status.put("confirmed", mState.confirmedUntilNanos() - System.nanoTime() > 0);
+        status.put("sites", mState.ownedServices().stream().sorted().toList());
+        status.put("steward", mState.isSteward());
+        status.put("uptimeMillis", mLoop.nowMillis());
+        Roster roster = mState.roster();
+        if (roster != null) {
+            status.put("roster", roster);
+        }
+        status.put("zones", mState.directory().zones());
+        status.put("parts", mSupervisor.status());
+        return status;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/control/PeerRoutes.java
@@ -0,0 +1,20 @@
+package org.redwingladder.control;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.handlers.PathHandler;
+import org.redwingladder.membership.Heartbeat;
+import org.redwingladder.membership.Release;
+
+/** Routes the control messages of the peer listener. */
+public final class PeerRoutes {
+    private PeerRoutes() {}
+
+    /** Adds the routes of roster and zones to {@code paths}. */
+    public static void add(PathHandler paths, RosterDriver roster, ZoneExchange zones) {
+        paths.addExactPath(
+                "/peer/v1/heartbeat", HttpJson.post(Heartbeat.class, roster::heartbeat));
+        paths.addExactPath("/peer/v1/release", HttpJson.post(Release.class, roster::release));
+        HttpHandler exchange = HttpJson.post(ZoneExchange.Message.class, zones::receive);
+        paths.addExactPath("/peer/v1/zones", exchange);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/daemon/JsonLog.java
@@ -0,0 +1,65 @@
+package org.redwingladder.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.redwingladder.http.Json;
+
+/** Writes log records as one JSON object a line, without stack traces. */
+final class JsonLog extends Formatter {
+
+    /** Sends all log records of the process to {@code out}. */
+    static void install(PrintStream out) {
+        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.INFO);
+        JsonLog formatter = new JsonLog();
+        root.addHandler(
+                new Handler() {
+                    @Override
+                    public void publish(LogRecord entry) {
+                        if (isLoggable(entry)) {
+                            out.print(formatter.format(entry));
+                        }
+                    }
+
+                    @Override
+                    public void flush() {
+                        out.flush();
+                    }
+
+                    @Override
+                    public void close() {
+                        flush();
+                    }
+                });
+        // Libraries report start-up details at this level, which say nothing about the system.
+        for (String library : new String[] {"org.xnio", "io.undertow", "org.jboss"}) {
+            Logger.getLogger(library).setLevel(Level.WARNING);
+        }
+    }
+
+    @Override
+    public String format(LogRecord entry) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("time", entry.getMillis());
+        line.put("level", entry.getLevel().getName().toLowerCase(Locale.ROOT));
+        line.put("message", formatMessage(entry));
+        if (entry.getThrown() != null) {
+            line.put("error", String.valueOf(entry.getThrown()));
+        }
+        try {
+            return Json.mapper().writeValueAsString(line) + "\n";
+        } catch (JsonProcessingException e) {
+            return "{\"level\":\"severe\",\"message\":\"a log record could not be written\"}\n";
+        }
+    }
+}
