--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -19,6 +19,7 @@
 import org.redwingladder.request.ClusterView;
 import org.redwingladder.request.ServiceSpec;
 import org.redwingladder.request.SiteSpec;
+import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.CapParts;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.settings.Site;
@@ -29,7 +30,7 @@
     private final String mZone;
     private final RosterView mView;
     private final NavigableMap<Long, Settings> mVersions;
-    private final Map<String, Long> mAcks;
+    private final Acks mAcks;
     private final Set<String> mLeaving;
     private final Derived mDerived;
 
@@ -53,7 +54,7 @@
             ClusterSnapshot other,
             RosterView view,
             NavigableMap<Long, Settings> versions,
-            Map<String, Long> acks,
+            Acks acks,
             Set<String> leaving,
             Derived derived) {
         mSelf = other.mSelf;
@@ -70,7 +71,7 @@
         mZone = zone;
         mView = new RosterView(null, false, Set.of(), Long.MIN_VALUE);
         mVersions = new TreeMap<>();
-        mAcks = Map.of();
+        mAcks = Acks.of(0, Map.of());
         mLeaving = Set.of();
         mDerived = new Derived(Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
     }
@@ -83,7 +84,7 @@
         return new ClusterSnapshot(this, view, mVersions, mAcks, mLeaving, mDerived);
     }
 
-    ClusterSnapshot withSettings(NavigableMap<Long, Settings> versions, Map<String, Long> acks) {
+    ClusterSnapshot withSettings(NavigableMap<Long, Settings> versions, Acks acks) {
         return new ClusterSnapshot(this, mView, versions, acks, mLeaving, mDerived);
     }
 
@@ -146,7 +147,7 @@
         return mVersions.isEmpty() ? 0 : mVersions.lastKey();
     }
 
-    Map<String, Long> acks() {
+    Acks acks() {
         return mAcks;
     }
 
--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -28,6 +28,7 @@
 import org.redwingladder.request.SiteSpec;
 import org.redwingladder.routing.LoadReport;
 import org.redwingladder.settings.Service;
+import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.settings.Site;
 
@@ -277,7 +278,7 @@
 
     @Override
     public synchronized void settings(
-            NavigableMap<Long, Settings> versions, Map<String, Long> acks) {
+            NavigableMap<Long, Settings> versions, Acks acks) {
         if (versions.isEmpty() || versions.lastKey() < mSnapshot.version()) {
             return;
         }
@@ -286,7 +287,7 @@
         Settings inForce = copy.lastEntry().getValue();
         mSnapshot =
                 mSnapshot
-                        .withSettings(copy, Map.copyOf(acks))
+                        .withSettings(copy, acks)
                         .rebuild(mDirectory, carriedOver(inForce));
         if (newVersion) {
             mLookup.update(inForce, copy.lastKey());
@@ -299,6 +300,16 @@
         tellListeners();
     }
 
+    /** Returns the settings in force, null before the first. */
+    public @Nullable Settings settingsInForce() {
+        return mSnapshot.settings();
+    }
+
+    /** Returns whether this process may act as an owner now. */
+    public boolean isConfirmed() {
+        return confirmedUntilNanos() - System.nanoTime() > 0;
+    }
+
     /** Returns the services with a site in this zone, as the settings in force name them. */
     Set<String> servicesHere() {
         Settings settings = mSnapshot.settings();
--- a/daemon/src/main/java/org/redwingladder/control/OperatorRoutes.java
+++ b/daemon/src/main/java/org/redwingladder/control/OperatorRoutes.java
@@ -59,8 +59,7 @@
         paths.addExactPath("/live", HttpJson.get(exchange -> Map.of("live", true)));
         paths.addExactPath("/ready", this::ready);
         paths.addExactPath("/metrics", this::metrics);
-        paths.addExactPath(
-                "/metrics.json", HttpJson.get(exchange -> MetricsText.tree(mMetrics)));
+        paths.addExactPath("/metrics.json", HttpJson.get(exchange -> MetricsText.tree(mMetrics)));
         paths.addExactPath("/v1/status", HttpJson.get(exchange -> status()));
         paths.addExactPath(
                 "/v1/drain",
@@ -130,7 +129,7 @@
         status.put("ready", notReady().isEmpty());
         status.put("reasons", notReady());
         status.put("settingsVersion", mState.settingsVersion());
-        status.put("confirmed", mState.confirmedUntilNanos() - System.nanoTime() > 0);
+        status.put("confirmed", mState.isConfirmed());
         status.put("sites", mState.ownedServices().stream().sorted().toList());
         status.put("steward", mState.isSteward());
         status.put("uptimeMillis", mLoop.nowMillis());
--- a/daemon/src/main/java/org/redwingladder/control/PeerRoutes.java
+++ b/daemon/src/main/java/org/redwingladder/control/PeerRoutes.java
@@ -11,8 +11,7 @@
 
     /** Adds the routes of roster and zones to {@code paths}. */
     public static void add(PathHandler paths, RosterDriver roster, ZoneExchange zones) {
-        paths.addExactPath(
-                "/peer/v1/heartbeat", HttpJson.post(Heartbeat.class, roster::heartbeat));
+        paths.addExactPath("/peer/v1/heartbeat", HttpJson.post(Heartbeat.class, roster::heartbeat));
         paths.addExactPath("/peer/v1/release", HttpJson.post(Release.class, roster::release));
         HttpHandler exchange = HttpJson.post(ZoneExchange.Message.class, zones::receive);
         paths.addExactPath("/peer/v1/zones", exchange);
--- a/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
+++ b/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
@@ -307,8 +307,7 @@
                         });
     }
 
-    private RosterInput written(
-            TransactionResult result, String key, RosterEffect.WriteRow write) {
+    private RosterInput written(TransactionResult result, String key, RosterEffect.WriteRow write) {
         return switch (result) {
             case TransactionResult.Committed committed ->
                     committed.versions().containsKey(key)
--- a/daemon/src/main/java/org/redwingladder/control/ZoneExchange.java
+++ b/daemon/src/main/java/org/redwingladder/control/ZoneExchange.java
@@ -132,9 +132,7 @@
             return new Message(mState.zone(), hash, null, null);
         }
         List<ZoneSummary> lacking =
-                message.digests() == null
-                        ? null
-                        : mState.directory().newerThan(message.digests());
+                message.digests() == null ? null : mState.directory().newerThan(message.digests());
         return new Message(mState.zone(), hash, digests, lacking);
     }
 
@@ -231,8 +229,7 @@
         try {
             return row.value() == null
                     ? List.of()
-                    : List.of(
-                            ZoneSummary.of(Json.mapper().treeToValue(row.value(), Roster.class)));
+                    : List.of(ZoneSummary.of(Json.mapper().treeToValue(row.value(), Roster.class)));
         } catch (JsonProcessingException e) {
             LOG.atWarning().log("zones: unreadable row %s: %s", row.key(), e.getOriginalMessage());
             return List.of();
--- a/daemon/src/main/java/org/redwingladder/daemon/ConfigReader.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/ConfigReader.java
@@ -50,8 +50,7 @@
      * @param epochMillis gives the incarnation if the text names none
      * @throws ConfigException if the text has faults
      */
-    public static DaemonConfig parse(byte[] text, LongSupplier epochMillis)
-            throws ConfigException {
+    public static DaemonConfig parse(byte[] text, LongSupplier epochMillis) throws ConfigException {
         JsonNode root;
         try {
             root = Json.tree(text);
@@ -71,14 +70,7 @@
         members(
                 root,
                 "",
-                Set.of(
-                        "host",
-                        "zone",
-                        "incarnation",
-                        "listen",
-                        "platform",
-                        "tokenKey",
-                        "limits"));
+                Set.of("host", "zone", "incarnation", "listen", "platform", "tokenKey", "limits"));
         String host = name(root, "host");
         String zone = name(root, "zone");
         long incarnation =
--- a/daemon/src/main/java/org/redwingladder/daemon/PlannedStop.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/PlannedStop.java
@@ -73,7 +73,8 @@
         Phase phase = mPhase;
         return phase == null
                 ? List.of()
-                : List.of("drain: a planned stop is " + phase.name().toLowerCase().replace('_', ' '));
+                : List.of(
+                        "drain: a planned stop is " + phase.name().toLowerCase().replace('_', ' '));
     }
 
     /**
@@ -129,7 +130,7 @@
                     end();
                 }
             }
-            case ENDED -> {}
+            default -> {}
         }
     }
 
--- a/daemon/src/main/java/org/redwingladder/daemon/Signals.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Signals.java
@@ -7,8 +7,9 @@
     private Signals() {}
 
     /**
-     * Calls {@code receiver} for each signal. The class of the platform is used by its name, because
-     * the compiler warns of any direct use of it, and a shutdown hook sees no second signal.
+     * Calls {@code receiver} for each signal. The class of the platform is used by its name,
+     * because the compiler warns of any direct use of it, and a shutdown hook sees no second
+     * signal.
      *
      * @param name the signal's name without {@code SIG}
      * @throws ReflectiveOperationException if the platform offers no signals
