--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -116,7 +116,7 @@
             for (String service : mView.sites()) {
                 Site site = new Site(service, mZone);
                 if (settings.sites().contains(site)) {
-                    CapParts parts = CapParts.of(mVersions, Acks.of(0, mAcks), site);
+                    CapParts parts = CapParts.of(mVersions, mAcks, site);
                     long until = carriedOver.getOrDefault(service, System.nanoTime());
                     sites.put(service, SiteSpec.of(settings, site, parts, mLeaving, until));
                 }
--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -27,8 +27,8 @@
 import org.redwingladder.request.ServiceSpec;
 import org.redwingladder.request.SiteSpec;
 import org.redwingladder.routing.LoadReport;
-import org.redwingladder.settings.Service;
 import org.redwingladder.settings.Acks;
+import org.redwingladder.settings.Service;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.settings.Site;
 
@@ -277,18 +277,14 @@
     }
 
     @Override
-    public synchronized void settings(
-            NavigableMap<Long, Settings> versions, Acks acks) {
+    public synchronized void settings(NavigableMap<Long, Settings> versions, Acks acks) {
         if (versions.isEmpty() || versions.lastKey() < mSnapshot.version()) {
             return;
         }
         boolean newVersion = versions.lastKey() > mSnapshot.version();
         NavigableMap<Long, Settings> copy = new TreeMap<>(versions);
         Settings inForce = copy.lastEntry().getValue();
-        mSnapshot =
-                mSnapshot
-                        .withSettings(copy, acks)
-                        .rebuild(mDirectory, carriedOver(inForce));
+        mSnapshot = mSnapshot.withSettings(copy, acks).rebuild(mDirectory, carriedOver(inForce));
         if (newVersion) {
             mLookup.update(inForce, copy.lastKey());
         }
