Add the backend server stand-in

Tests of the request path and the demo need backend servers with slots, load reports, drains and wrong answers. Undertow cannot send a wrong length or a second answer, so these are written to the bare connection after the exchange has ended. Undertow also does not see a peer that closes while a request is carried out; CloseWatch reads the connection meanwhile, which makes cancellation work for GET and POST.

--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/AnswerSender.java
@@ -0,0 +1,133 @@
+package org.redwingladder.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.redwingladder.api.Headers;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.StreamSinkConduit;
+
+/** Sends answers whole or damaged. */
+final class AnswerSender {
+    /** Names the ways to send an answer. */
+    enum Manner {
+        WHOLE,
+        TRUNCATED,
+        WRONG_LENGTH,
+        TWICE
+    }
+
+    private AnswerSender() {}
+
+    /**
+     * Sends {@code answer}.
+     *
+     * @param lengthError what {@link Manner#WRONG_LENGTH} adds to the announced length
+     */
+    static void send(HttpServerExchange exchange, Answer answer, Manner manner, int lengthError)
+            throws IOException {
+        exchange.getResponseHeaders()
+                .put(HttpString.tryFromString(Headers.REQUEST_ID), answer.requestId());
+        byte[] body = answer.body();
+        if (exchange.getRequestMethod().equals(Methods.HEAD)) {
+            Exchanges.sendBytes(exchange, 200, body);
+            return;
+        }
+        switch (manner) {
+            case WHOLE -> Exchanges.sendBytes(exchange, 200, body);
+            case TRUNCATED -> sendPart(exchange, body, body.length / 2, body.length, true);
+            case WRONG_LENGTH -> sendWrongLength(exchange, body, lengthError);
+            case TWICE -> {
+                byte[] again = rawAnswer(answer);
+                exchange.addExchangeCompleteListener(
+                        (done, next) -> {
+                            writeRaw(done, again);
+                            next.proceed();
+                        });
+                Exchanges.sendBytes(exchange, 200, body);
+            }
+            default -> throw new IllegalArgumentException(manner.name());
+        }
+    }
+
+    private static void sendWrongLength(HttpServerExchange exchange, byte[] body, int error) {
+        int announced = Math.max(0, body.length + error);
+        if (announced >= body.length) {
+            sendPart(exchange, body, body.length, announced, false);
+            return;
+        }
+        byte[] rest = Arrays.copyOfRange(body, announced, body.length);
+        exchange.addExchangeCompleteListener(
+                (done, next) -> {
+                    writeRaw(done, rest);
+                    next.proceed();
+                });
+        Exchanges.sendBytes(exchange, 200, Arrays.copyOf(body, announced));
+    }
+
+    /** Announces {@code announced} bytes, sends {@code sent} and closes or leaves it unfinished. */
+    private static void sendPart(
+            HttpServerExchange exchange, byte[] body, int sent, int announced, boolean close) {
+        exchange.setStatusCode(200);
+        exchange.setResponseContentLength(announced);
+        // Waits for the socket, which the I/O thread must not do.
+        exchange.dispatch(
+                () -> {
+                    try {
+                        writeAll(exchange.getResponseChannel(), ByteBuffer.wrap(body, 0, sent));
+                        if (close) {
+                            Exchanges.drop(exchange);
+                        }
+                    } catch (IOException e) {
+                        Exchanges.drop(exchange);
+                    }
+                });
+    }
+
+    private static void writeAll(StreamSinkChannel channel, ByteBuffer buffer) throws IOException {
+        while (buffer.hasRemaining()) {
+            if (channel.write(buffer) == 0) {
+                channel.awaitWritable();
+            }
+        }
+        while (!channel.flush()) {
+            channel.awaitWritable();
+        }
+    }
+
+    private static byte[] rawAnswer(Answer answer) throws IOException {
+        ByteArrayOutputStream raw = new ByteArrayOutputStream();
+        raw.write(
+                Exchanges.utf8(
+                        "HTTP/1.1 200 OK\r\nContent-Length: "
+                                + answer.body().length
+                                + "\r\n"
+                                + Headers.REQUEST_ID
+                                + ": "
+                                + answer.requestId()
+                                + "\r\n\r\n"));
+        raw.write(answer.body());
+        return raw.toByteArray();
+    }
+
+    /** Writes bytes past the protocol, as many as the socket takes at once. */
+    private static void writeRaw(HttpServerExchange exchange, byte[] bytes) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+            return;
+        }
+        StreamSinkConduit conduit = connection.getOriginalSinkConduit();
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        try {
+            while (buffer.hasRemaining() && conduit.write(buffer) > 0) {
+                conduit.flush();
+            }
+        } catch (IOException e) {
+            Exchanges.drop(exchange);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/BackendServer.java
@@ -0,0 +1,264 @@
+package org.redwingladder.standin;
+
+import static java.util.Objects.requireNonNull;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.ErrorBody;
+import org.redwingladder.api.Headers;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.xnio.XnioWorker;
+
+/**
+ * Serves any request as a backend server does: in a limited number of slots, for a drawn service
+ * time, with faults on demand and a journal of what ran.
+ *
+ * <p>Work is refused with {@code Redwing-Not-Run} only if it has not started and never will.
+ */
+public final class BackendServer implements AutoCloseable {
+    /** How long after its deadline a late answer is sent, in milliseconds. */
+    static final long LATE_MILLIS = 300;
+
+    private static final AttachmentKey<Work> CURRENT = AttachmentKey.create(Work.class);
+
+    private final BackendConfig mConfig;
+    private final XnioWorker mWorker;
+    private final boolean mOwnsWorker;
+    private final long mStartedAt = System.currentTimeMillis();
+    private final RunJournal mJournal = new RunJournal();
+    private final ServiceTimes mTimes;
+    private final LoadHistory mLoad = new LoadHistory(mStartedAt);
+    private final BackendHandler mHandler = new BackendHandler(this);
+    private final SlotQueue mQueue;
+    private final FaultCounts mCounts = new FaultCounts();
+    private final Object mListenerLock = new Object();
+    private @Nullable HttpListener mListener;
+    private final String mAddress;
+    private volatile BackendFaults mFaults = BackendFaults.NONE;
+    private volatile Answer mLastAnswer = Answer.of("none", 16);
+
+    private BackendServer(BackendConfig config, XnioWorker worker, boolean ownsWorker)
+            throws IOException {
+        mConfig = config;
+        mWorker = worker;
+        mOwnsWorker = ownsWorker;
+        mTimes = new ServiceTimes(config, mStartedAt);
+        mQueue = new SlotQueue(config.slots(), requireNonNull(config.backlog()), mLoad);
+        HttpListener listener = listen(config.port());
+        mListener = listener;
+        mAddress = listener.addressText();
+    }
+
+    /**
+     * Starts a backend server with threads of its own.
+     *
+     * @throws IOException if the port cannot be bound
+     */
+    public static BackendServer start(BackendConfig config) throws IOException {
+        XnioWorker worker = HttpListener.newWorker(config.name(), 1);
+        try {
+            return new BackendServer(config, worker, true);
+        } catch (IOException e) {
+            worker.shutdownNow();
+            throw e;
+        }
+    }
+
+    /** Starts a backend server that shares the threads of {@code worker}. */
+    static BackendServer start(BackendConfig config, XnioWorker worker) throws IOException {
+        return new BackendServer(config, worker, false);
+    }
+
+    /** Returns the backend server's name. */
+    public String name() {
+        return mConfig.name();
+    }
+
+    /** Returns the address as {@code ip:port}; it stays the same while the server is down. */
+    public String address() {
+        return mAddress;
+    }
+
+    /** Returns the journal of runs. */
+    public RunJournal journal() {
+        return mJournal;
+    }
+
+    /** Returns the faults in force. */
+    public BackendFaults faults() {
+        return mFaults;
+    }
+
+    /**
+     * Replaces the faults in force. It must not be called on an I/O thread of the server.
+     *
+     * @throws IOException if the port cannot be bound again after {@code down}
+     */
+    public void inject(BackendFaults faults) throws IOException {
+        mCounts.set(faults);
+        mFaults = faults;
+        synchronized (mListenerLock) {
+            if (faults.down() && mListener != null) {
+                mListener.close();
+                mListener = null;
+            } else if (!faults.down() && mListener == null) {
+                mListener = listen(portOf(mAddress));
+            }
+        }
+    }
+
+    /** Returns the counters. */
+    public BackendStats stats() {
+        int connections;
+        synchronized (mListenerLock) {
+            connections = mListener == null ? 0 : mListener.connections();
+        }
+        return mQueue.stats(connections, mHandler.connectionsOpened());
+    }
+
+    @Override
+    public void close() {
+        synchronized (mListenerLock) {
+            if (mListener != null) {
+                mListener.close();
+                mListener = null;
+            }
+        }
+        if (mOwnsWorker) {
+            mWorker.shutdownNow();
+        }
+    }
+
+    /** Returns the state that the backend server reports. */
+    String state() {
+        if (mFaults.draining()) {
+            return "draining";
+        }
+        boolean starting = System.currentTimeMillis() < mStartedAt + mConfig.startingMillis();
+        return starting ? "starting" : "serving";
+    }
+
+    /** Returns the load report. */
+    Map<String, Object> loadReport() {
+        long reportedAt = System.currentTimeMillis() - mFaults.loadLagMillis();
+        return Map.of(
+                "inFlight", reported(mLoad.at(reportedAt)),
+                "slots", mConfig.slots(),
+                "state", state(),
+                "reportedAt", reportedAt);
+    }
+
+    boolean admitsConnection() {
+        synchronized (mListenerLock) {
+            return mListener != null && mListener.connections() <= mConfig.connections();
+        }
+    }
+
+    /** Takes a request that was read whole; called on its I/O thread. */
+    void accept(HttpServerExchange exchange, boolean firstOnConnection) {
+        Work work = new Work(this, exchange, firstOnConnection);
+        // Other I/O threads may start the work as soon as it is queued, so the handler must have
+        // returned by then.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> enqueue(work));
+    }
+
+    private void enqueue(Work work) {
+        HttpServerExchange exchange = work.exchange();
+        CloseWatch.start(exchange);
+        exchange.getConnection().putAttachment(CURRENT, work);
+        if (work.isFirstOnConnection()) {
+            exchange.getConnection().addCloseListener(this::connectionClosed);
+        }
+        if (mCounts.take(FaultCounts.Kind.SHED) || !mQueue.offer(work)) {
+            mQueue.shed(work);
+            refuse(exchange, RefusalReason.BACKEND_SHED, "The backend server has no room.");
+        }
+    }
+
+    /** Returns the service time of work that starts now, in milliseconds. */
+    double serviceMillis(Work work, long now) {
+        BackendConfig.PathClass pathClass = mConfig.classOf(work.path());
+        double millis =
+                work.queryMillis() >= 0
+                        ? work.queryMillis() * mTimes.factor(mFaults, now)
+                        : mTimes.draw(pathClass, mFaults, now);
+        return work.isFirstOnConnection() ? millis + mConfig.connectMillis() : millis;
+    }
+
+    int bodyBytes(Work work) {
+        return work.queryBytes() >= 0
+                ? work.queryBytes()
+                : mConfig.classOf(work.path()).bodyBytes();
+    }
+
+    /** Sends the answer of completed work; called on its I/O thread. */
+    void answer(Work work) throws IOException {
+        HttpServerExchange exchange = work.exchange();
+        Answer own = Answer.of(work.requestId(), bodyBytes(work));
+        Answer before = mLastAnswer;
+        mLastAnswer = own;
+        Answer sent = mCounts.take(FaultCounts.Kind.CROSS) ? before : own;
+        AnswerSender.Manner manner = mCounts.takeManner();
+        addHeaders(exchange);
+        int lengthError = mFaults.wrongLengthBy();
+        if (mCounts.take(FaultCounts.Kind.LATE)) {
+            long now = System.currentTimeMillis();
+            long from = work.deadline() == Long.MAX_VALUE ? now : Math.max(now, work.deadline());
+            Exchanges.later(
+                    exchange,
+                    from + LATE_MILLIS - now,
+                    e -> AnswerSender.send(e, sent, manner, lengthError));
+        } else {
+            AnswerSender.send(exchange, sent, manner, lengthError);
+        }
+    }
+
+    /** Refuses work that has not started and never will. */
+    void refuse(HttpServerExchange exchange, RefusalReason reason, String message) {
+        addHeaders(exchange);
+        exchange.getResponseHeaders().put(HttpString.tryFromString(Headers.NOT_RUN), "true");
+        String id = Work.header(exchange, Headers.REQUEST_ID);
+        exchange.getResponseHeaders().put(HttpString.tryFromString(Headers.REQUEST_ID), id);
+        Exchanges.sendJson(exchange, 503, ErrorBody.of(Refusal.notRun(reason, 0, message), id));
+    }
+
+    private void connectionClosed(ServerConnection connection) {
+        Work work = connection.getAttachment(CURRENT);
+        if (work != null) {
+            mQueue.closed(work);
+        }
+    }
+
+    SlotQueue queue() {
+        return mQueue;
+    }
+
+    private void addHeaders(HttpServerExchange exchange) {
+        var headers = exchange.getResponseHeaders();
+        headers.put(HttpString.tryFromString(Headers.BACKEND), mConfig.name());
+        headers.put(
+                HttpString.tryFromString(Headers.LOAD),
+                reported(mQueue.inFlight()) + "/" + mConfig.slots());
+        headers.put(HttpString.tryFromString(Headers.STATE), state());
+    }
+
+    private int reported(int truth) {
+        Integer wrong = mFaults.wrongLoad();
+        return wrong == null ? truth : wrong;
+    }
+
+    private HttpListener listen(int port) throws IOException {
+        return HttpListener.open(mWorker, requireNonNull(mConfig.ip()), port, mHandler);
+    }
+
+    private static int portOf(String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/CloseWatch.java
@@ -0,0 +1,50 @@
+package org.redwingladder.standin;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
+
+/**
+ * Closes a connection when its peer closes it while a request is being carried out.
+ *
+ * <p>Undertow suspends reads between the end of a request and its answer, so that it does not see
+ * the end of the stream. This reads the bare connection meanwhile; bytes of a following request are
+ * given back.
+ */
+final class CloseWatch {
+    private CloseWatch() {}
+
+    /** Watches the connection of a request that was read whole; called on its I/O thread. */
+    static void start(HttpServerExchange exchange) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)
+                || connection.getExtraBytes() != null) {
+            return;
+        }
+        connection.getChannel().getSourceChannel().setReadListener(c -> readable(connection));
+        connection.getOriginalSourceConduit().resumeReads();
+    }
+
+    private static void readable(HttpServerConnection connection) {
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        boolean given = false;
+        try {
+            int read = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+            if (read < 0) {
+                IoUtils.safeClose(connection);
+            } else if (read > 0) {
+                connection.getOriginalSourceConduit().suspendReads();
+                pooled.getBuffer().flip();
+                connection.ungetRequestBytes(pooled);
+                given = true;
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        } finally {
+            if (!given) {
+                pooled.close();
+            }
+        }
+    }
+}
--- a/standin/src/main/java/org/redwingladder/standin/HttpListener.java
+++ b/standin/src/main/java/org/redwingladder/standin/HttpListener.java
@@ -58,8 +58,8 @@
                 OptionMap.builder()
                         .set(Options.WORKER_NAME, name)
                         .set(Options.WORKER_IO_THREADS, ioThreads)
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 4)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 4)
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.THREAD_DAEMON, true)
                         .getMap();
