--- /dev/null
+++ b/tool/src/main/java/org/redwingladder/tool/LookupResult.java
@@ -0,0 +1,29 @@
+package org.redwingladder.tool;
+
+import org.redwingladder.api.LookupAnswer;
+import org.redwingladder.api.Refusal;
+
+/** Tells what became of a look-up. */
+sealed interface LookupResult {
+
+    /**
+     * Holds an answer.
+     *
+     * @param answer the answer
+     */
+    record Found(LookupAnswer answer) implements LookupResult {}
+
+    /**
+     * Tells that the entry host refused.
+     *
+     * @param refusal the refusal
+     */
+    record Refused(Refusal refusal) implements LookupResult {}
+
+    /**
+     * Tells that no usable answer came.
+     *
+     * @param reason why, as a short name
+     */
+    record Failed(String reason) implements LookupResult {}
+}
