Test the faults of the stand-ins

A stand-in whose fault does less than its description says would let tests of other modules pass for the wrong reason.

One run logged a rejected timer of a server that was being closed; work that is started then drops its connection now.

--- a/standin/src/main/java/org/redwingladder/standin/HttpListener.java
+++ b/standin/src/main/java/org/redwingladder/standin/HttpListener.java
@@ -28,6 +28,7 @@
         mUndertow =
                 Undertow.builder()
                         .setWorker(worker)
+                        .setDirectBuffers(false)
                         .setSocketOption(Options.REUSE_ADDRESSES, true)
                         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
                         .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
--- a/standin/src/main/java/org/redwingladder/standin/PlatformServer.java
+++ b/standin/src/main/java/org/redwingladder/standin/PlatformServer.java
@@ -127,6 +127,13 @@
                 mTable.rows("", 0, Integer.MAX_VALUE).size());
     }
 
+    /** Returns how many requests the fault {@code frozen} holds. */
+    int heldRequests() {
+        synchronized (mHeld) {
+            return mHeld.size();
+        }
+    }
+
     @Override
     public void close() {
         mListeners.forEach(HttpListener::close);
--- a/standin/src/main/java/org/redwingladder/standin/Work.java
+++ b/standin/src/main/java/org/redwingladder/standin/Work.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Headers;
@@ -112,10 +113,15 @@
     void run() {
         double millis = mServer.serviceMillis(this, System.currentTimeMillis());
         long rounded = Math.max(0, Math.round(millis));
-        mTimer =
-                mExchange
-                        .getIoThread()
-                        .executeAfter(this::complete, rounded, TimeUnit.MILLISECONDS);
+        try {
+            mTimer =
+                    mExchange
+                            .getIoThread()
+                            .executeAfter(this::complete, rounded, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The server was closed meanwhile.
+            Exchanges.drop(mExchange);
+        }
     }
 
     void cancelTimer() {
--- /dev/null
+++ b/standin/src/test/java/org/redwingladder/standin/BackendServerTest.java
@@ -0,0 +1,369 @@
+package org.redwingladder.standin;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BackendServerTest {
+    private static final String ID = "Redwing-Request-Id";
+    private static final String LONG = "/work?millis=600000";
+
+    private BackendServer mServer;
+    private StandinClient mClient;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer =
+                BackendServer.start(
+                        BackendConfig.of(
+                                "b1", 2, List.of(new BackendConfig.PathClass("/", 1, 0, 64))));
+        mClient = new StandinClient(mServer.address());
+    }
+
+    @AfterEach
+    void stop() {
+        mClient.close();
+        mServer.close();
+    }
+
+    private HttpResponse<String> ask(String id) throws IOException, InterruptedException {
+        return mClient.call("GET", "/work", "", ID, id);
+    }
+
+    private void inject(String json) throws IOException {
+        mServer.inject(BackendFaults.parse(json));
+    }
+
+    /** Sends a request on a connection of its own and returns the bytes once they are enough. */
+    private String raw(String request, Predicate<String> enough) throws IOException {
+        String[] address = mServer.address().split(":");
+        try (Socket socket = new Socket(address[0], Integer.parseInt(address[1]))) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(request.getBytes(UTF_8));
+            StringBuilder text = new StringBuilder();
+            byte[] buffer = new byte[4096];
+            while (!enough.test(text.toString())) {
+                int count = socket.getInputStream().read(buffer);
+                assertThat(count).as("bytes after %s", text).isPositive();
+                text.append(new String(buffer, 0, count, UTF_8));
+            }
+            return text.toString();
+        }
+    }
+
+    private static String body(String answer) {
+        int end = answer.indexOf("\r\n\r\n");
+        return end < 0 ? "" : answer.substring(end + 4);
+    }
+
+    private static String get(String id) {
+        return "GET /work?bytes=20 HTTP/1.1\r\nHost: b\r\n" + ID + ": " + id + "\r\n\r\n";
+    }
+
+    /** Guards against a journal that misses runs or records work that was refused. */
+    @Nested
+    class Work {
+        @Test
+        void echoesIdAndRecordsRun() throws Exception {
+            HttpResponse<String> answer = ask("r1");
+
+            assertThat(answer.headers().firstValue(ID)).contains("r1");
+            assertThat(answer.headers().firstValue("Redwing-Backend")).contains("b1");
+            assertThat(answer.body()).startsWith("r1\n").hasSize(64);
+            assertThat(mServer.journal().runsOf("r1"))
+                    .singleElement()
+                    .satisfies(run -> assertThat(run.end()).isEqualTo("completed"));
+        }
+
+        @Test
+        void refusesExpiredWorkWithoutRunning() throws Exception {
+            for (String header : List.of("Redwing-Start-By", "Redwing-Deadline")) {
+                HttpResponse<String> answer =
+                        mClient.call("POST", "/work", "x", ID, header, header, "1000");
+
+                assertThat(answer.statusCode()).isEqualTo(503);
+                assertThat(answer.headers().firstValue("Redwing-Not-Run")).contains("true");
+                assertThat(answer.body()).contains("deadline-expired");
+                assertThat(mServer.journal().runsOf(header)).isEmpty();
+            }
+        }
+
+        @Test
+        void shedsAboveSlotsAndBacklog() throws Exception {
+            for (int i = 0; i < 4; i++) {
+                mClient.start("GET", LONG, "", ID, "held" + i);
+            }
+            StandinClient.await(() -> mServer.stats().inFlight() == 4);
+
+            HttpResponse<String> answer = ask("r5");
+
+            assertThat(answer.statusCode()).isEqualTo(503);
+            assertThat(answer.headers().firstValue("Redwing-Not-Run")).contains("true");
+            assertThat(mServer.journal().runsOf("r5")).isEmpty();
+            assertThat(mServer.stats().started()).isEqualTo(2);
+        }
+
+        @Test
+        void closedConnectionCancelsRunningAndWaitingWork() throws Exception {
+            CompletableFuture<HttpResponse<String>> first =
+                    mClient.start("GET", LONG, "", ID, "first");
+            CompletableFuture<HttpResponse<String>> second =
+                    mClient.start("POST", LONG, "body", ID, "second");
+            StandinClient.await(() -> mServer.stats().started() == 2);
+            CompletableFuture<HttpResponse<String>> waiting =
+                    mClient.start("GET", LONG, "", ID, "waiting");
+            StandinClient.await(() -> mServer.stats().inFlight() == 3);
+
+            waiting.cancel(true);
+            StandinClient.await(() -> mServer.stats().inFlight() == 2);
+            first.cancel(true);
+            second.cancel(true);
+            StandinClient.await(() -> mServer.stats().inFlight() == 0);
+
+            assertThat(mServer.journal().runsOf("waiting")).isEmpty();
+            assertThat(mServer.journal().runsOf("second").get(0).end()).isEqualTo("cancelled");
+            assertThat(mServer.stats().cancelled()).isEqualTo(2);
+            assertThat(ask("after").statusCode()).isEqualTo(200);
+        }
+
+        @Test
+        void closesConnectionsAboveTheLimit() throws Exception {
+            BackendConfig config =
+                    new BackendConfig("b2", null, 0, 2, 1, null, 0, 0, 0, 1, null, null, 1);
+            try (BackendServer server = BackendServer.start(config);
+                    StandinClient client = new StandinClient(server.address())) {
+                client.start("GET", LONG, "", ID, "held");
+                StandinClient.await(() -> server.stats().inFlight() == 1);
+
+                assertThatThrownBy(() -> client.call("GET", "/work", "x"))
+                        .isInstanceOf(IOException.class);
+            }
+        }
+    }
+
+    /** Guards against damaged answers that a receiver could not tell from whole ones. */
+    @Nested
+    class DamagedAnswers {
+        @Test
+        void truncatedBodyEndsBeforeItsLength() throws Exception {
+            inject("{\"truncateBody\":1}");
+
+            assertThatThrownBy(() -> ask("r1")).isInstanceOf(IOException.class);
+            assertThat(ask("r2").body()).startsWith("r2\n");
+        }
+
+        @Test
+        void shortLengthLeavesRestOnConnection() throws Exception {
+            inject("{\"wrongLength\":1}");
+
+            String bytes = raw(get("r1"), text -> body(text).length() >= 20);
+
+            assertThat(bytes).contains("Content-Length: 13").contains("\r\n\r\nr1\n");
+            assertThat(body(bytes)).hasSize(20);
+        }
+
+        @Test
+        void longLengthLeavesConnectionOpen() throws Exception {
+            inject("{\"wrongLength\":1,\"wrongLengthBy\":5}");
+
+            String bytes = raw(get("r1"), text -> body(text).length() >= 20);
+
+            assertThat(bytes).contains("Content-Length: 25").contains("\r\n\r\nr1\n");
+        }
+
+        @Test
+        void duplicateIsASecondAnswer() throws Exception {
+            inject("{\"duplicateAnswer\":1}");
+
+            String bytes = raw(get("r1"), text -> text.split("\r\n\r\nr1\n", -1).length == 3);
+
+            assertThat(bytes.split("HTTP/1.1 200 OK", -1)).hasSize(3);
+        }
+
+        @Test
+        void crossedAnswerCarriesTheOneBefore() throws Exception {
+            ask("r1");
+            inject("{\"crossAnswer\":1}");
+
+            HttpResponse<String> answer = ask("r2");
+
+            assertThat(answer.headers().firstValue(ID)).contains("r1");
+            assertThat(answer.body()).startsWith("r1\n");
+        }
+
+        @Test
+        void lateAnswerComesAfterTheDeadlineAndFreesTheSlot() throws Exception {
+            inject("{\"lateAnswer\":1}");
+            long deadline = System.currentTimeMillis() + 500;
+
+            CompletableFuture<HttpResponse<String>> answer =
+                    mClient.start(
+                            "GET",
+                            "/work",
+                            "",
+                            ID,
+                            "r1",
+                            "Redwing-Deadline",
+                            Long.toString(deadline));
+            StandinClient.await(() -> mServer.stats().completed() == 1);
+            assertThat(mServer.stats().inFlight()).isZero();
+            answer.join();
+
+            assertThat(System.currentTimeMillis()).isGreaterThan(deadline);
+        }
+    }
+
+    /** Guards against load reports and states that tests take for lies they did not ask for. */
+    @Nested
+    class LoadReports {
+        @Test
+        void reportsLoadAndState() throws Exception {
+            mClient.start("GET", LONG, "", ID, "held");
+            StandinClient.await(() -> mServer.stats().inFlight() == 1);
+
+            JsonNode load = mClient.json("GET", "/load", "");
+
+            assertThat(load.path("inFlight").asInt()).isEqualTo(1);
+            assertThat(load.path("slots").asInt()).isEqualTo(2);
+            assertThat(load.path("state").asText()).isEqualTo("serving");
+        }
+
+        @Test
+        void lagHidesTheLoadOfNow() throws Exception {
+            inject("{\"loadLagMillis\":50000}");
+            mClient.start("GET", LONG, "", ID, "held");
+            StandinClient.await(() -> mServer.stats().inFlight() == 1);
+
+            JsonNode load = mClient.json("GET", "/load", "");
+
+            assertThat(load.path("inFlight").asInt()).isZero();
+            assertThat(load.path("reportedAt").asLong())
+                    .isLessThanOrEqualTo(System.currentTimeMillis() - 50_000);
+        }
+
+        @Test
+        void wrongLoadIsInReportAndHeader() throws Exception {
+            inject("{\"wrongLoad\":99}");
+
+            assertThat(mClient.json("GET", "/load", "").path("inFlight").asInt()).isEqualTo(99);
+            assertThat(ask("r1").headers().firstValue("Redwing-Load")).contains("99/2");
+        }
+
+        @Test
+        void drainingStillRunsWhatArrives() throws Exception {
+            inject("{\"draining\":true}");
+
+            HttpResponse<String> answer = ask("r1");
+
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.headers().firstValue("Redwing-State")).contains("draining");
+            assertThat(mServer.journal().runsOf("r1")).hasSize(1);
+        }
+    }
+
+    /** Guards against a server that is down but still takes or finishes work. */
+    @Nested
+    class Down {
+        @Test
+        void refusesConnectionsAndComesBackOnItsPort() throws Exception {
+            CompletableFuture<HttpResponse<String>> running =
+                    mClient.start("GET", LONG, "", ID, "running");
+            StandinClient.await(() -> mServer.stats().started() == 1);
+
+            inject("{\"down\":true}");
+
+            assertThatThrownBy(running::join).hasCauseInstanceOf(IOException.class);
+            assertThatThrownBy(() -> ask("r1")).isInstanceOf(ConnectException.class);
+            assertThat(mServer.journal().runsOf("running").get(0).end()).isEqualTo("cancelled");
+            inject("{}");
+            assertThat(ask("r2").statusCode()).isEqualTo(200);
+        }
+
+        @Test
+        void groupAdminReachesIt() throws Exception {
+            try (BackendGroup group =
+                            BackendGroup.start(
+                                    List.of(BackendConfig.of("c1", 1), BackendConfig.of("c2", 1)),
+                                    "127.0.0.1",
+                                    0);
+                    StandinClient admin = new StandinClient(group.adminAddress())) {
+                admin.json("POST", "/servers/c1/admin/faults", "{\"down\":true}");
+                admin.json("POST", "/servers/c1/admin/faults", "{\"shed\":true}");
+
+                JsonNode faults = admin.json("GET", "/servers/c1/admin/faults", "");
+
+                assertThat(faults.path("shed").asInt()).isEqualTo(-1);
+                assertThat(admin.json("GET", "/servers", "").path("servers")).hasSize(2);
+            }
+        }
+    }
+
+    /** Guards against service times that do not follow the configuration. */
+    @Nested
+    class Times {
+        private final BackendConfig.PathClass mClass = new BackendConfig.PathClass("/", 10, 0, 1);
+
+        @Test
+        void slowFactorEndsAtItsTime() throws Exception {
+            ServiceTimes times = new ServiceTimes(BackendConfig.of("b", 1), 0);
+            BackendFaults faults = BackendFaults.parse("{\"slowFactor\":10,\"slowUntil\":5000}");
+
+            assertThat(times.draw(mClass, faults, 4_999)).isEqualTo(100);
+            assertThat(times.draw(mClass, faults, 5_000)).isEqualTo(10);
+        }
+
+        @Test
+        void coldStartFadesEvenly() {
+            BackendConfig cold =
+                    new BackendConfig("b", null, 0, 1, 0, null, 0, 0, 1_000, 5, null, null, 1);
+            ServiceTimes times = new ServiceTimes(cold, 0);
+
+            assertThat(times.draw(mClass, BackendFaults.NONE, 0)).isEqualTo(50);
+            assertThat(times.draw(mClass, BackendFaults.NONE, 500)).isEqualTo(30);
+            assertThat(times.draw(mClass, BackendFaults.NONE, 1_000)).isEqualTo(10);
+        }
+
+        @Test
+        void spellsComeAndGoWithTheSeed() {
+            BackendConfig config =
+                    new BackendConfig(
+                            "b",
+                            null,
+                            0,
+                            1,
+                            0,
+                            null,
+                            0,
+                            0,
+                            0,
+                            1,
+                            new BackendConfig.Spells(1_000, 100, 7),
+                            null,
+                            11);
+            ServiceTimes times = new ServiceTimes(config, 0);
+            ServiceTimes same = new ServiceTimes(config, 0);
+            int slow = 0;
+            for (long now = 0; now < 100_000; now += 10) {
+                double factor = times.factor(BackendFaults.NONE, now);
+                assertThat(same.factor(BackendFaults.NONE, now)).isEqualTo(factor);
+                slow += factor == 7 ? 1 : 0;
+            }
+
+            // A spell lasts 100 ms and one begins every 1100 ms in the mean.
+            assertThat(slow).isBetween(600, 1_300);
+        }
+    }
+}
