--- a/standin/src/main/java/org/redwingladder/standin/HttpListener.java
+++ b/standin/src/main/java/org/redwingladder/standin/HttpListener.java
@@ -28,6 +28,7 @@
         mUndertow =
                 Undertow.builder()
                         .setWorker(worker)
+                        .setDirectBuffers(false)
                         .setSocketOption(Options.REUSE_ADDRESSES, true)
                         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
                         .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
@@ -58,8 +59,8 @@
                 OptionMap.builder()
                         .set(Options.WORKER_NAME, name)
                         .set(Options.WORKER_IO_THREADS, ioThreads)
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 2)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 4)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 4)
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.THREAD_DAEMON, true)
                         .getMap();
