--- /dev/null
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyOurs.java
@@ -0,0 +1,179 @@
+package org.redwingladder.bench;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.limits.SiteCap;
+import org.redwingladder.limits.SiteLimits;
+import org.redwingladder.retry.RetryBudget;
+import org.redwingladder.retry.RetryDecision;
+import org.redwingladder.routing.BackendSpec;
+import org.redwingladder.routing.DispatchAction;
+import org.redwingladder.routing.SiteConfig;
+import org.redwingladder.routing.SiteLoads;
+import org.redwingladder.routing.SiteRequest;
+import org.redwingladder.routing.WorkClass;
+
+/** Drives the decision logic of ingress and site owners over the fake. */
+final class PolicyOurs implements PolicyRouter {
+    final PolicyWorld mWorld;
+    final PolicyOptions mOptions;
+    private final Map<Integer, PolicySite> mSites = new HashMap<>();
+    private final Ingress[] mHosts;
+
+    PolicyOurs(PolicyWorld world, PolicyOptions options) {
+        mWorld = world;
+        mOptions = options;
+        int zones = world.mDeployment.zones().size();
+        for (int zone = 0; zone < zones; zone++) {
+            mSites.put(zone, new PolicySite(this, zone, limits(zone)));
+        }
+        mHosts = new Ingress[zones * PolicyWorkload.HOSTS_PER_ZONE];
+        for (int host = 0; host < mHosts.length; host++) {
+            mHosts[host] = new Ingress(sites(host));
+        }
+    }
+
+    /** Holds what one entry host remembers as an ingress. */
+    private static final class Ingress {
+        private final List<SiteLoads.Site> mSites;
+        private final SiteLoads mShortLoads = SiteLoads.create();
+        private final SiteLoads mLongLoads = SiteLoads.create();
+        private final RetryBudget mBudget = RetryBudget.create();
+
+        Ingress(List<SiteLoads.Site> sites) {
+            mSites = sites;
+        }
+
+        SiteLoads loads(WorkClass workClass) {
+            return workClass == WorkClass.SHORT ? mShortLoads : mLongLoads;
+        }
+    }
+
+    /** Returns the sites that a host may try; hosts of one zone order far ones differently. */
+    private List<SiteLoads.Site> sites(int host) {
+        int own = host / PolicyWorkload.HOSTS_PER_ZONE;
+        List<SiteLoads.Site> sites = new ArrayList<>();
+        for (int zone : mSites.keySet()) {
+            long roundTrip = 2 * mWorld.mDeployment.delayNanos(own, zone);
+            sites.add(new SiteLoads.Site(String.valueOf(zone), roundTrip));
+        }
+        Collections.shuffle(sites, new Random(host));
+        return sites;
+    }
+
+    private SiteLimits limits(int zone) {
+        Map<String, String> regions = new HashMap<>();
+        for (int z = 0; z < mWorld.mDeployment.zones().size(); z++) {
+            regions.put(String.valueOf(z), "r" + mWorld.mDeployment.regionOf(z));
+        }
+        List<SiteCap> caps = new ArrayList<>();
+        int slots = 0;
+        for (PolicyServer server : mWorld.mServers) {
+            slots += server.mZone == zone ? server.mSlots : 0;
+        }
+        if (mOptions.capShare() > 0) {
+            double perSecond =
+                    mOptions.capShare() * slots * PolicyWorld.SECOND / PolicyWorkload.SHORT_NANOS;
+            for (int region = 0; region < mWorld.mDeployment.regions().size(); region++) {
+                if (region != mWorld.mDeployment.regionOf(zone)) {
+                    String name = "r" + region + "-" + zone;
+                    caps.add(new SiteCap(name, "r" + region, (long) perSecond, SiteCap.UNLIMITED));
+                }
+            }
+        }
+        return SiteLimits.create(regions, caps, Map.of(), 0);
+    }
+
+    SiteConfig config(int zone, List<PolicyServer> servers) {
+        List<BackendSpec> specs = new ArrayList<>();
+        int each = Math.max(1, mWorld.mService.connections() / mWorld.mServers.size());
+        for (PolicyServer server : servers) {
+            if (server.mZone == zone) {
+                specs.add(new BackendSpec(server.mName, server.mSlots, each, false));
+            }
+        }
+        return new SiteConfig(
+                mWorld.mService.name(),
+                PolicyWorkload.LONG_DEADLINE_NANOS,
+                mOptions.rampNanos(),
+                mOptions.longSlotsPercent(),
+                specs);
+    }
+
+    PolicySite site(int zone) {
+        return mSites.get(zone);
+    }
+
+    @Override
+    public void arrived(PolicyRequest request) {
+        Ingress ingress = mHosts[request.mHost];
+        ingress.mBudget.request();
+        send(request, ingress, new ArrayList<>(ingress.mSites));
+    }
+
+    /** Sends a request to the best of the sites that it has not been sent to yet. */
+    private void send(PolicyRequest request, Ingress ingress, List<SiteLoads.Site> left) {
+        mWorld.mAttempts++;
+        SiteLoads loads = ingress.loads(request.mWorkClass);
+        SiteLoads.Site best = loads.order(left, mWorld.now()).get(0);
+        left.remove(best);
+        int zone = Integer.parseInt(best.name());
+        long delay = best.roundTripNanos() / 2;
+        SiteRequest offered =
+                new SiteRequest(
+                        request.mId,
+                        String.valueOf(request.mZone),
+                        "",
+                        request.mWorkClass,
+                        request.mDeadlineNanos - PolicyDeployment.CLIENT_NANOS - delay,
+                        request.mIdempotent);
+        PolicySite site = mSites.get(zone);
+        PolicySite.Reply reply =
+                (refuse, wait) ->
+                        mWorld.mEvents.after(
+                                delay,
+                                () -> {
+                                    loads.noted(best.name(), wait, mWorld.now());
+                                    if (refuse != null) {
+                                        refused(request, ingress, left, refuse);
+                                    }
+                                });
+        mWorld.mEvents.after(delay, () -> site.offer(request, offered, reply));
+    }
+
+    private void refused(
+            PolicyRequest request,
+            Ingress ingress,
+            List<SiteLoads.Site> left,
+            DispatchAction.Refuse refuse) {
+        mWorld.count(refuse.reason().wireName() + " " + refuse.outcome());
+        Refusal refusal =
+                new Refusal(
+                        refuse.reason(), refuse.outcome(), refuse.retryAtNanos() / 1_000_000, "");
+        RetryDecision.Attempted attempted =
+                new RetryDecision.Attempted(
+                        request.mIdempotent, false, left.size(), request.mDeadlineNanos);
+        RetryDecision decision =
+                mOptions.retryAtWill()
+                        ? atWill(attempted, refusal)
+                        : RetryDecision.decide(attempted, refusal, ingress.mBudget, mWorld.now());
+        switch (decision) {
+            case RetryDecision.Retry retry -> send(request, ingress, left);
+            case RetryDecision.GiveUp giveUp -> {
+                mWorld.count("final " + giveUp.answer().reason().wireName());
+                mWorld.refused(request, PolicyDeployment.CLIENT_NANOS);
+            }
+        }
+    }
+
+    private static RetryDecision atWill(RetryDecision.Attempted attempted, Refusal refusal) {
+        return attempted.sitesLeft() > 0
+                ? new RetryDecision.Retry()
+                : new RetryDecision.GiveUp(refusal);
+    }
+}
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -100,6 +100,11 @@
         return new Refuse(request, reason, Outcome.NOT_RUN, retryAtNanos);
     }
 
+    /** Returns how long a request would wait now, which the owner tells the ingress. */
+    public long expectedWaitNanos(WorkClass workClass, long nowNanos) {
+        return expectedWaitNanos(workClass, Long.MAX_VALUE, nowNanos);
+    }
+
     /** Estimates how long a request of the class would wait for a slot. */
     private long expectedWaitNanos(WorkClass workClass, long deadlineNanos, long nowNanos) {
         int free = mSite.mPool.freeSlots(nowNanos);
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/routing/SiteLoads.java
@@ -0,0 +1,65 @@
+package org.redwingladder.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Remembers at an ingress how long requests wait at the sites of one service.
+ *
+ * <p>Each answer and each refusal tells the wait that the site's owner expects. The ingress tries
+ * the site first whose distance and wait add up to the least, so that work leaves a crowded site
+ * before it is refused there: a refusal costs an attempt and a token of the retry budget. A wait is
+ * forgotten exponentially, because a site that is not tried tells nothing new. Instants are
+ * nanoseconds of one monotonic clock. Not thread-safe.
+ */
+public final class SiteLoads {
+    private final double mMemoryNanos;
+    private final Map<String, Load> mLoads = new HashMap<>();
+
+    private SiteLoads(double memoryNanos) {
+        mMemoryNanos = memoryNanos;
+    }
+
+    /** Creates a memory that forgets within the standard time. */
+    public static SiteLoads create() {
+        return new SiteLoads(200e6);
+    }
+
+    /**
+     * Names a site that an ingress may try.
+     *
+     * @param name the site's zone
+     * @param roundTripNanos how long a request and its answer travel
+     */
+    public record Site(String name, long roundTripNanos) {}
+
+    private record Load(double waitNanos, long atNanos) {}
+
+    /** Notes the wait that the owner of a site expects. */
+    public void noted(String site, long waitNanos, long nowNanos) {
+        mLoads.put(site, new Load(waitNanos, nowNanos));
+    }
+
+    /** Returns the wait to expect at a site. */
+    public double waitNanos(String site, long nowNanos) {
+        Load load = mLoads.get(site);
+        if (load == null) {
+            return 0;
+        }
+        return load.waitNanos() * Math.exp(-(nowNanos - load.atNanos()) / mMemoryNanos);
+    }
+
+    /** Returns the sites in the order in which to try them; equal ones keep their order. */
+    public List<Site> order(List<Site> sites, long nowNanos) {
+        List<Site> order = new ArrayList<>(sites);
+        Map<Site, Double> costs = new HashMap<>();
+        for (Site site : sites) {
+            costs.put(site, site.roundTripNanos() + waitNanos(site.name(), nowNanos));
+        }
+        order.sort(Comparator.comparingDouble(costs::get));
+        return order;
+    }
+}
