--- a/tool/src/main/java/org/redwingladder/tool/LoadCommand.java
+++ b/tool/src/main/java/org/redwingladder/tool/LoadCommand.java
@@ -71,7 +71,11 @@
                     .with(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                     .readValue(readFile(mPlan));
         } catch (JsonProcessingException e) {
-            throw new ToolException(ExitCode.USAGE, mPlan + ": " + e.getOriginalMessage());
+            String message =
+                    e.getCause() instanceof IllegalArgumentException cause
+                            ? cause.getMessage()
+                            : e.getOriginalMessage();
+            throw new ToolException(ExitCode.USAGE, mPlan + ": " + message);
         } catch (IOException e) {
             throw new ToolException(ExitCode.FAILURE, "cannot read " + mPlan);
         }
