--- a/daemon/src/main/java/org/redwingladder/daemon/JsonLog.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/JsonLog.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.PrintStream;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.logging.Formatter;
@@ -15,6 +16,13 @@
 
 /** Writes log records as one JSON object a line, without stack traces. */
 final class JsonLog extends Formatter {
+    // Libraries report start-up details below this level, which say nothing about the system. The
+    // loggers are kept here, because the log manager forgets levels of loggers that nobody holds.
+    private static final List<Logger> LIBRARIES =
+            List.of(
+                    Logger.getLogger("org.xnio"),
+                    Logger.getLogger("io.undertow"),
+                    Logger.getLogger("org.jboss"));
 
     /** Sends all log records of the process to {@code out}. */
     static void install(PrintStream out) {
@@ -41,10 +49,7 @@
                         flush();
                     }
                 });
-        // Libraries report start-up details at this level, which say nothing about the system.
-        for (String library : new String[] {"org.xnio", "io.undertow", "org.jboss"}) {
-            Logger.getLogger(library).setLevel(Level.WARNING);
-        }
+        LIBRARIES.forEach(library -> library.setLevel(Level.WARNING));
     }
 
     @Override
