Keep only the settings versions that matter for caps

A member needs the versions between the lowest acknowledged one and its own, which may span hours while a zone is cut off. Versions with the same caps, links, regions and sites as the one before are left out, and a new version shares the parts of the teams that it does not change.

--- a/core/src/main/java/org/redwingladder/settings/CapParts.java
+++ b/core/src/main/java/org/redwingladder/settings/CapParts.java
@@ -63,7 +63,8 @@
      *
      * <p>A version that is not known here but may be in use by a sharing zone gives a part of 0.
      *
-     * @param versions the known settings, by version; the last one is in force here
+     * @param versions the known settings, by version; the last one is in force here, and the others
+     *     stand for all versions up to the next
      * @param acks the lowest version that each zone still serves by
      * @param site the site
      */
@@ -75,7 +76,7 @@
         }
         SortedSet<CapShare> capShares = new TreeSet<>();
         SortedSet<LinkShare> linkShares = new TreeSet<>();
-        for (Settings settings : versions.tailMap(oldest, true).values()) {
+        for (Settings settings : since(versions, oldest)) {
             settings.caps()
                     .forEach(
                             (name, cap) -> {
@@ -126,7 +127,7 @@
             }
         }
         Limit limit = new Limit();
-        for (Settings settings : versions.tailMap(lowest, true).values()) {
+        for (Settings settings : since(versions, lowest)) {
             share.restrict(settings, site, limit);
         }
         if (lowest < versions.firstKey()) {
@@ -135,12 +136,27 @@
         return limit;
     }
 
+    /** Returns the settings in force from {@code version} on. */
+    private static Iterable<Settings> since(NavigableMap<Long, Settings> versions, long version) {
+        Long first = versions.floorKey(version);
+        return (first == null ? versions : versions.tailMap(first, true)).values();
+    }
+
+    /** Returns whether every site has the same parts by both settings. */
+    static boolean sameInputs(Settings a, Settings b) {
+        if (!a.regions().equals(b.regions()) || !a.links().equals(b.links())) {
+            return false;
+        }
+        return a.teams().equals(b.teams())
+                || (a.caps().equals(b.caps()) && a.sites().equals(b.sites()));
+    }
+
     private static boolean shares(
             NavigableMap<Long, Settings> versions, Share share, Map.Entry<String, Long> ack) {
         if (ack.getValue() < versions.firstKey()) {
             return true;
         }
-        for (Settings settings : versions.tailMap(ack.getValue(), true).values()) {
+        for (Settings settings : since(versions, ack.getValue())) {
             if (share.covers(settings, ack.getKey())) {
                 return true;
             }
--- a/core/src/main/java/org/redwingladder/settings/SettingsCodec.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsCodec.java
@@ -88,6 +88,32 @@
         }
     }
 
+    /** Binds a valid document and shares what it has in common with the one before. */
+    static Settings bind(JsonNode document, JsonNode beforeDocument, Settings before)
+            throws SettingsException {
+        try {
+            JsonNode node = document.path("deployment");
+            Deployment deployment =
+                    node == beforeDocument.path("deployment")
+                            ? before.deployment()
+                            : MAPPER.treeToValue(node, Deployment.class);
+            Map<String, TeamSettings> teams = new TreeMap<>();
+            for (Map.Entry<String, JsonNode> team : document.path("teams").properties()) {
+                String name = team.getKey();
+                TeamSettings known = before.teams().get(name);
+                boolean same = team.getValue() == beforeDocument.path("teams").path(name);
+                teams.put(
+                        name,
+                        same && known != null
+                                ? known
+                                : MAPPER.treeToValue(team.getValue(), TeamSettings.class));
+            }
+            return Settings.of(deployment, teams);
+        } catch (JsonProcessingException e) {
+            throw new SettingsException("", e.getOriginalMessage(), "a valid settings document");
+        }
+    }
+
     /** Returns {@code settings} as a JSON document. */
     public static ObjectNode write(Settings settings) {
         ObjectNode node = MAPPER.createObjectNode();
--- a/core/src/main/java/org/redwingladder/settings/SettingsOrder.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsOrder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
 
@@ -66,11 +67,23 @@
         return mTree.version();
     }
 
-    /** Returns the settings of the last versions, by version; the last one is in force. */
+    /**
+     * Returns the known settings by version; the last one is in force. A version whose parts of
+     * caps are as in the version before it is left out, so an entry stands for all versions up to
+     * the next.
+     */
     public NavigableMap<Long, Settings> history() {
         return new TreeMap<>(mHistory);
     }
 
+    /** Drops the versions that no zone serves by any more: those before {@code version}. */
+    public void forgetBefore(long version) {
+        Long first = mHistory.floorKey(version);
+        if (first != null) {
+            mHistory.headMap(first, false).clear();
+        }
+    }
+
     /** Applies {@code change} if it follows the version in force. */
     public Result accept(Change change) {
         if (change.version() <= version()) {
@@ -123,6 +136,13 @@
 
     private void enter(SettingsTree tree, Settings settings) {
         mTree = tree;
+        Map.Entry<Long, Settings> last = mHistory.lastEntry();
+        Map.Entry<Long, Settings> before = last == null ? null : mHistory.lowerEntry(last.getKey());
+        if (last != null
+                && before != null
+                && CapParts.sameInputs(before.getValue(), last.getValue())) {
+            mHistory.remove(last.getKey());
+        }
         mHistory.put(tree.version(), settings);
         while (mHistory.size() > mHistoryLimit) {
             mHistory.pollFirstEntry();
--- a/core/src/main/java/org/redwingladder/settings/SettingsTree.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsTree.java
@@ -21,16 +21,23 @@
 public final class SettingsTree {
     private static final String TEAMS = "teams";
     private static final SettingsTree EMPTY =
-            new SettingsTree(0, JsonNodeFactory.instance.objectNode(), new TreeMap<>());
+            new SettingsTree(0, JsonNodeFactory.instance.objectNode(), new TreeMap<>(), null);
 
     private final long mVersion;
     private final ObjectNode mRoot;
     private final SortedMap<String, Long> mSubtreeVersions;
-
-    private SettingsTree(long version, ObjectNode root, SortedMap<String, Long> subtreeVersions) {
+    private final @Nullable SettingsTree mPrevious;
+    private volatile @Nullable Settings mSettings;
+
+    private SettingsTree(
+            long version,
+            ObjectNode root,
+            SortedMap<String, Long> subtreeVersions,
+            @Nullable SettingsTree previous) {
         mVersion = version;
         mRoot = root;
         mSubtreeVersions = subtreeVersions;
+        mPrevious = previous;
     }
 
     /** Returns the tree of version 0, which holds nothing. */
@@ -56,7 +63,7 @@
                         root.withObjectProperty(TEAMS).set(team, value.deepCopy());
                     }
                 });
-        return new SettingsTree(version, root, new TreeMap<>(subtreeVersions));
+        return new SettingsTree(version, root, new TreeMap<>(subtreeVersions), null);
     }
 
     /** Returns the settings version. */
@@ -96,12 +103,27 @@
     }
 
     /**
-     * Returns the settings of this version.
+     * Returns the settings of this version. The parts that a change left alone are shared with the
+     * version before.
      *
      * @throws SettingsException with all errors if the document is not valid
      */
     public Settings settings() throws SettingsException {
-        return SettingsCodec.read(mRoot);
+        Settings known = mSettings;
+        if (known != null) {
+            return known;
+        }
+        List<SettingsError> errors = validate();
+        if (!errors.isEmpty()) {
+            throw new SettingsException(errors);
+        }
+        Settings before = mPrevious == null ? null : mPrevious.mSettings;
+        Settings bound =
+                before == null
+                        ? SettingsCodec.bind(mRoot)
+                        : SettingsCodec.bind(mRoot, mPrevious.mRoot, before);
+        mSettings = bound;
+        return bound;
     }
 
     /** Returns the path of the subtree that {@code team} owns. */
@@ -153,7 +175,15 @@
         ObjectNode root = replace(mRoot, pointer(change.path()), change.value(), change.path());
         SortedMap<String, Long> versions = new TreeMap<>(mSubtreeVersions);
         versions.put(owner, change.version());
-        return new SettingsTree(change.version(), root, versions);
+        // Only a tree whose settings are known can share them, and it must not keep its own past.
+        SettingsTree past = mSettings == null ? null : withoutPast();
+        return new SettingsTree(change.version(), root, versions, past);
+    }
+
+    private SettingsTree withoutPast() {
+        SettingsTree copy = new SettingsTree(mVersion, mRoot, mSubtreeVersions, null);
+        copy.mSettings = mSettings;
+        return copy;
     }
 
     /**
--- a/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
+++ b/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.node.LongNode;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -115,6 +116,46 @@
         }
     }
 
+    @Nested
+    class History {
+        /** Guards against memory that grows with changes that do not concern caps. */
+        @Test
+        void keepsOnlyVersionsThatMatterForCaps() {
+            SettingsOrder order = atVersion(1);
+            for (long v = 2; v <= 5; v++) {
+                order.accept(
+                        new Change(
+                                v,
+                                "c" + v,
+                                "store",
+                                "/teams/store/backendServers/checkout-1/slots",
+                                LongNode.valueOf(v),
+                                "ana",
+                                0));
+            }
+            order.accept(Documents.rate(6, 60));
+            order.accept(Documents.rate(7, 70));
+            assertThat(order.history()).containsOnlyKeys(1L, 6L, 7L);
+            order.forgetBefore(3);
+            assertThat(order.history()).containsOnlyKeys(1L, 6L, 7L);
+            order.forgetBefore(6);
+            assertThat(order.history()).containsOnlyKeys(6L, 7L);
+        }
+
+        /** Guards against settings that differ from those of the whole document. */
+        @Test
+        void sharingLeavesTheSettingsAsTheyAre() throws Exception {
+            SettingsOrder order = atVersion(1);
+            order.accept(Documents.rate(2, 60));
+            order.accept(Documents.rate(3, 70));
+
+            assertThat(order.tree().settings())
+                    .isEqualTo(SettingsCodec.read(order.tree().document()));
+            assertThat(order.history().get(3L).deployment())
+                    .isSameAs(order.history().get(2L).deployment());
+        }
+    }
+
     /** Guards against any order of delivery that lowers the version or ends at another document. */
     @Property(tries = 100, seed = "42")
     void anyDeliveryEndsAtTheSameDocument(@ForAll long seed) {
