--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/DemoProcess.java
@@ -0,0 +1,92 @@
+package org.redwingladder.standin;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Runs one process of the demo, whose output goes to a file. */
+final class DemoProcess {
+    private static final long POLL_MILLIS = 20;
+
+    private final String mName;
+    private final Path mLog;
+    private final Process mProcess;
+
+    /**
+     * Starts a process.
+     *
+     * @throws IOException if it cannot be started
+     */
+    DemoProcess(String name, Path directory, List<String> command) throws IOException {
+        mName = name;
+        mLog = directory.resolve(name + ".log");
+        mProcess =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(mLog.toFile())
+                        .start();
+    }
+
+    String name() {
+        return mName;
+    }
+
+    long pid() {
+        return mProcess.pid();
+    }
+
+    boolean alive() {
+        return mProcess.isAlive();
+    }
+
+    /** Asks the process to end (SIGTERM). */
+    void terminate() {
+        mProcess.destroy();
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    void kill() {
+        mProcess.destroyForcibly();
+    }
+
+    /** Waits for the end and returns the exit code; empty if the process still runs. */
+    Optional<Integer> exitCode(long waitMillis) throws InterruptedException {
+        return mProcess.waitFor(waitMillis, TimeUnit.MILLISECONDS)
+                ? Optional.of(mProcess.exitValue())
+                : Optional.empty();
+    }
+
+    String output() throws IOException {
+        return Files.readString(mLog);
+    }
+
+    /**
+     * Waits for a line of the output.
+     *
+     * @return the first group of {@code pattern}
+     * @throws DemoException if the process ends, or the time passes, before the line appears
+     */
+    String awaitLine(Pattern pattern, long waitMillis)
+            throws IOException, InterruptedException, DemoException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+        while (true) {
+            boolean alive = alive();
+            Matcher matcher = pattern.matcher(output());
+            if (matcher.find()) {
+                return matcher.group(1);
+            }
+            if (!alive) {
+                throw new DemoException(mName + " ended with exit code " + mProcess.exitValue());
+            }
+            if (System.nanoTime() > deadline) {
+                throw new DemoException(mName + " is not ready after " + waitMillis + " ms");
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/redwingladder/standin/DemoTimes.java
@@ -0,0 +1,34 @@
+package org.redwingladder.standin;
+
+/**
+ * Fixes when what happens, in milliseconds after the start of the load.
+ *
+ * @param slowAt when some backend servers become slow
+ * @param slowMillis how long they stay slow
+ * @param killAt when an entry host is killed
+ * @param burstAt when the burst begins
+ * @param burstMillis how long the burst lasts
+ * @param stopAt when the planned stop of an entry host begins
+ * @param drainAt when the drain of a backend server begins
+ * @param capAt when a cap is lowered
+ * @param downAt when the platform goes down
+ * @param upAt when the platform comes up
+ * @param loadMillis how long requests arrive
+ */
+record DemoTimes(
+        long slowAt,
+        long slowMillis,
+        long killAt,
+        long burstAt,
+        long burstMillis,
+        long stopAt,
+        long drainAt,
+        long capAt,
+        long downAt,
+        long upAt,
+        long loadMillis) {
+    static final DemoTimes DEFAULT =
+            new DemoTimes(
+                    3_000, 6_000, 6_000, 14_000, 5_000, 20_000, 26_000, 30_000, 36_000, 46_000,
+                    52_000);
+}
--- a/tool/src/main/java/org/redwingladder/tool/HostCommands.java
+++ b/tool/src/main/java/org/redwingladder/tool/HostCommands.java
@@ -114,7 +114,7 @@
             }
             JsonNode answer =
                     OperatorClient.require(
-                            client.post("/v1/members/remove", Map.of("dead", mDead)));
+                            client.post("/v1/members/remove", Map.of("host", mDead, "dead", true)));
             print(out, answer, "removed " + mDead);
             return ExitCode.OK;
         }
