Ask a crowded site with one request at a time

Cause: an ingress that had forgotten a wait of 250 ms sent everything there until the first answer came, which took the wait itself. Queues stood at their bound while other regions had free slots. Change: SiteLoads does not forget while a request that was sent since is unanswered.

--- a/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
@@ -24,8 +24,16 @@
                                             w.mEvents.at(
                                                     i * 100_000_000L,
                                                     () -> {
-                                                        for (int z = 0; z < 6; z++)
+                                                        for (int z = 0; z < 6; z++) {
                                                             o.site(z).sample();
+                                                        }
+                                                        if (System.getenv("SHOW") != null) {
+                                                            StringBuilder b = new StringBuilder();
+                                                            for (int z = 0; z < 6; z++)
+                                                                b.append(o.site(z).show());
+                                                            System.out.println(
+                                                                    w.now() / 100000000 + " " + b);
+                                                        }
                                                     });
                                         }
                                     }
@@ -35,7 +43,7 @@
                 PolicyStats n = run.naive();
                 PolicyStats o = run.ours(PolicyOptions.standard());
                 PolicyStats x = run.oracle(1000);
-                System.out.println(o.reasons());
+                System.out.println(o.reasons() + o.tail(0.99, of));
                 System.out.printf(
                         "%s | %.1f | %.1f | %.1f | fail %.2f %.2f %.2f | att %.3f extra %.2f | p50 %.1f %.1f p999 %.1f %.1f | %d reqs %d ms%n",
                         run.label(),
--- a/bench/src/main/java/org/redwingladder/bench/PolicyOurs.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyOurs.java
@@ -122,6 +122,7 @@
         SiteLoads loads = ingress.loads(request.mWorkClass);
         SiteLoads.Site best = loads.order(left, mWorld.now()).get(0);
         left.remove(best);
+        loads.sent(best.name(), mWorld.now());
         int zone = Integer.parseInt(best.name());
         long delay = best.roundTripNanos() / 2;
         SiteRequest offered =
--- a/bench/src/main/java/org/redwingladder/bench/PolicySite.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicySite.java
@@ -117,6 +117,27 @@
         }
     }
 
+    String show() {
+        StringBuilder b = new StringBuilder();
+        var st = mDispatcher.status(mWorld.now());
+        for (var x : st.backends()) {
+            boolean slow = server(x.name()).slowFactor() > 1;
+            b.append(x.state().name().charAt(0))
+                    .append(slow ? "!" : " ")
+                    .append(x.inFlight())
+                    .append('/')
+                    .append(x.usableSlots())
+                    .append(' ');
+        }
+        return String.format(
+                "[%sq%d w%d]",
+                b,
+                st.queuedShort(),
+                mDispatcher.expectedWaitNanos(
+                                org.redwingladder.routing.WorkClass.SHORT, mWorld.now())
+                        / 1000000);
+    }
+
     void sample() {
         for (var b : mDispatcher.status(mWorld.now()).backends()) {
             boolean slow = server(b.name()).slowFactor() > 1;
--- a/bench/src/main/java/org/redwingladder/bench/PolicyStats.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyStats.java
@@ -61,6 +61,24 @@
                 / PolicyWorld.SECOND;
     }
 
+    String tail(double q, Predicate<PolicyRequest> of) {
+        double cut = latencyMillis(q, of);
+        double[] a = new double[6];
+        for (PolicyRequest r : mWorld.mRequests) {
+            if (of.test(r) && r.latencyNanos() / 1e6 >= cut) {
+                a[0]++;
+                a[1] += (r.mArrivedNanos - r.mSentNanos) / 1e6;
+                a[2] += (r.mStartedNanos - r.mArrivedNanos) / 1e6;
+                a[3] += (r.mAnsweredNanos - r.mStartedNanos) / 1e6;
+                a[4] += r.mWorkNanos / 1e6;
+                if (r.mArrivedNanos - r.mSentNanos > 15e6) a[5]++;
+            }
+        }
+        return String.format(
+                "tail n %.0f: net-in %.1f wait %.1f service+back %.1f work %.1f far %.2f",
+                a[0], a[1] / a[0], a[2] / a[0], a[3] / a[0], a[4] / a[0], a[5] / a[0]);
+    }
+
     String reasons() {
         return mWorld.mReasons.toString();
     }
--- a/core/src/main/java/org/redwingladder/routing/Backend.java
+++ b/core/src/main/java/org/redwingladder/routing/Backend.java
@@ -96,6 +96,10 @@
     /** Takes a service time into account, in multiples of the class's mean. */
     void timed(double relativeTime) {
         mRelativeTime += WEIGHT * (relativeTime - mRelativeTime);
+    }
+
+    /** Allows another request at a time after a good answer. */
+    void widen() {
         if (mSlotLimit < mSpec.slots()) {
             mSlotLimit++;
         }
--- a/core/src/main/java/org/redwingladder/routing/OutlierDetector.java
+++ b/core/src/main/java/org/redwingladder/routing/OutlierDetector.java
@@ -23,6 +23,9 @@
     /** Counts a finished attempt. */
     static void finished(Backend backend, long nanos, TimeDigest times) {
         double excess = excess(nanos, times);
+        if (excess < 0) {
+            backend.widen();
+        }
         // A very fast answer must not outweigh several slow ones.
         backend.mExcess = Math.max(0, backend.mExcess + Math.max(-0.5, excess));
     }
@@ -50,12 +53,17 @@
      */
     boolean ejectIfOutlier(Backend backend, double inFlightExcess, long nowNanos) {
         double sum = backend.mExcess + inFlightExcess;
-        if (sum < mTuning.ejectAtExcess() || !backend.serving() || !mPool.mayEject()) {
+        if (sum < mTuning.ejectAtExcess() || !backend.serving()) {
             return false;
         }
         if (sum < mTuning.ejectAtExcess() + 2 * medianOfPeers(backend)) {
             return false;
         }
+        if (!mPool.mayEject()) {
+            // The floor keeps it in, with one request at a time until answers are good again.
+            backend.mSlotLimit = 1;
+            return false;
+        }
         eject(backend, nowNanos);
         return true;
     }
--- a/core/src/main/java/org/redwingladder/routing/SiteLoads.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteLoads.java
@@ -12,10 +12,16 @@
  * <p>Each answer and each refusal tells the wait that the site's owner expects. The ingress tries
  * the site first whose distance and wait add up to the least, so that work leaves a crowded site
  * before it is refused there: a refusal costs an attempt and a token of the retry budget. A wait is
- * forgotten exponentially, because a site that is not tried tells nothing new. Instants are
- * nanoseconds of one monotonic clock. Not thread-safe.
+ * forgotten exponentially, because a site that is not tried tells nothing new, but not while a
+ * request that was sent since is unanswered. Instants are nanoseconds of one monotonic clock. Not
+ * thread-safe.
  */
 public final class SiteLoads {
+    private static final long NOT_ASKED = Long.MIN_VALUE;
+
+    /** After this time an answer that was waited for is taken as lost. */
+    private static final long ANSWER_NANOS = 1_000_000_000L;
+
     private final double mMemoryNanos;
     private final Map<String, Load> mLoads = new HashMap<>();
 
@@ -36,11 +42,27 @@
      */
     public record Site(String name, long roundTripNanos) {}
 
-    private record Load(double waitNanos, long atNanos) {}
+    /**
+     * Holds what was told last.
+     *
+     * @param waitNanos the wait
+     * @param atNanos when it was told
+     * @param askedNanos when a request was sent that has told nothing yet; {@link #NOT_ASKED} if
+     *     none
+     */
+    private record Load(double waitNanos, long atNanos, long askedNanos) {}
 
     /** Notes the wait that the owner of a site expects. */
     public void noted(String site, long waitNanos, long nowNanos) {
-        mLoads.put(site, new Load(waitNanos, nowNanos));
+        mLoads.put(site, new Load(waitNanos, nowNanos, NOT_ASKED));
+    }
+
+    /** Notes that a request was sent to a site. */
+    public void sent(String site, long nowNanos) {
+        Load load = mLoads.get(site);
+        if (load != null && load.askedNanos() == NOT_ASKED) {
+            mLoads.put(site, new Load(load.waitNanos(), load.atNanos(), nowNanos));
+        }
     }
 
     /** Returns the wait to expect at a site. */
@@ -49,6 +71,10 @@
         if (load == null) {
             return 0;
         }
+        if (load.askedNanos() != NOT_ASKED && nowNanos - load.askedNanos() < ANSWER_NANOS) {
+            // The answer comes after the wait itself; until then one request is enough to ask.
+            return load.waitNanos();
+        }
         return load.waitNanos() * Math.exp(-(nowNanos - load.atNanos()) / mMemoryNanos);
     }
 
