Count slow backend servers by what they achieve in the expected wait

Cause: the wait was computed from all serving slots and the mean service time. A site whose only serving backend server had turned slow told 250 ms when it was 1.5 s. Change: each backend server counts with its slots divided by its own slowness, which is the larger of its mean relative service time and the mean age of what it runs.

--- a/core/src/main/java/org/redwingladder/routing/Backend.java
+++ b/core/src/main/java/org/redwingladder/routing/Backend.java
@@ -31,6 +31,9 @@
     /** A connection was refused, and nothing has shown since that it serves. */
     boolean mRefused;
 
+    /** Mean age of the attempts in flight, in multiples of their class's mean service time. */
+    double mRelativeAge;
+
     private double mRelativeTime = 1;
     private boolean mReportDraining;
     private boolean mHeaderDraining;
@@ -105,14 +108,20 @@
         }
     }
 
+    /** Returns how much longer than the class's mean it takes at present, at least 1. */
+    double slowness() {
+        return Math.max(1, Math.max(mRelativeTime, mRelativeAge));
+    }
+
     /** Estimates when another request would be finished, relative to the class's mean. */
     double expectedFinish() {
-        return mRelativeTime * (mInFlight + 1) / mSpec.slots();
+        return slowness() * (mInFlight + 1) / mSpec.slots();
     }
 
     /** Forgets slowness, after a probe has shown that it is over. */
     void resetTimes() {
         mRelativeTime = 1;
+        mRelativeAge = 0;
     }
 
     void reported(LoadReport report, ReportSource source, long nowNanos) {
--- a/core/src/main/java/org/redwingladder/routing/BackendPool.java
+++ b/core/src/main/java/org/redwingladder/routing/BackendPool.java
@@ -74,6 +74,17 @@
         return slots;
     }
 
+    /** Returns the serving slots, those of slow backend servers counted by what they achieve. */
+    double effectiveSlots(long nowNanos) {
+        double slots = 0;
+        for (Backend backend : mByName.values()) {
+            if (backend.serving()) {
+                slots += usableSlots(backend, nowNanos) / backend.slowness();
+            }
+        }
+        return slots;
+    }
+
     /** Returns the free slots of the backend servers that take new work. */
     int freeSlots(long nowNanos) {
         int slots = 0;
--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -346,18 +346,32 @@
     }
 
     private void ejectOutliers(long nowNanos) {
-        Map<Backend, Double> excess = new HashMap<>();
+        Map<Backend, Ages> ages = new HashMap<>();
         for (Attempt attempt : mAttempts.values()) {
             if (!attempt.mStreaming && attempt.mKind != AttemptKind.PROBE) {
-                double above =
-                        OutlierDetector.excess(
+                ages.computeIfAbsent(attempt.mBackend, b -> new Ages())
+                        .add(
                                 nowNanos - attempt.mSentNanos,
                                 mSite.times(attempt.mFlight.mWorkClass));
-                excess.merge(attempt.mBackend, Math.max(0, above), Double::sum);
             }
         }
         for (Backend backend : mSite.mPool.each()) {
-            mSite.mDetector.ejectIfOutlier(backend, excess.getOrDefault(backend, 0.0), nowNanos);
+            Ages of = ages.getOrDefault(backend, new Ages());
+            backend.mRelativeAge = of.mCount == 0 ? 0 : of.mRelative / of.mCount;
+            mSite.mDetector.ejectIfOutlier(backend, of.mExcess, nowNanos);
+        }
+    }
+
+    /** Adds up the ages of the attempts in flight at one backend server. */
+    private static final class Ages {
+        private double mExcess;
+        private double mRelative;
+        private int mCount;
+
+        void add(long nanos, TimeDigest times) {
+            mExcess += Math.max(0, OutlierDetector.excess(nanos, times));
+            mRelative += (double) nanos / times.meanNanos();
+            mCount++;
         }
     }
 
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -108,11 +108,11 @@
     /** Estimates how long a request of the class would wait for a slot. */
     private long expectedWaitNanos(WorkClass workClass, long deadlineNanos, long nowNanos) {
         int free = mSite.mPool.freeSlots(nowNanos);
-        int slots = mSite.mPool.servingSlots(nowNanos);
+        double slots = mSite.mPool.effectiveSlots(nowNanos);
         int longInFlight = mInFlight.count(WorkClass.LONG);
         if (workClass == WorkClass.LONG) {
             int limit = mSite.longLimit(nowNanos);
-            slots = limit;
+            slots = Math.min(slots, limit);
             free = Math.min(free - mQueue.size(WorkClass.SHORT), limit - longInFlight);
         } else {
             slots -= longInFlight;
@@ -122,7 +122,7 @@
             return 0;
         }
         long mean = mSite.times(workClass).meanNanos();
-        return (ahead + 1 - Math.max(0, free)) * mean / Math.max(1, slots);
+        return (long) ((ahead + 1 - Math.max(0, free)) * mean / Math.max(0.1, slots));
     }
 
     /** Returns the sends that are possible now, and refusals of requests that expired meanwhile. */
