--- a/daemon/src/test/java/org/redwingladder/request/WholePathTest.java
+++ b/daemon/src/test/java/org/redwingladder/request/WholePathTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.Json;
+import org.redwingladder.http.RawBackend;
 
 class WholePathTest {
     private final FakeCluster mCluster = new FakeCluster();
--- a/daemon/src/test/java/org/redwingladder/request/Eventually.java
+++ b/http/src/test/java/org/redwingladder/http/Eventually.java
@@ -1,4 +1,4 @@
-package org.redwingladder.request;
+package org.redwingladder.http;
 
 import static org.assertj.core.api.Assertions.fail;
 
@@ -7,12 +7,12 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits for conditions that become true in another thread. */
-final class Eventually {
+public final class Eventually {
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private Eventually() {}
 
-    static void until(String what, BooleanSupplier condition) {
+    public static void until(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + LIMIT_NANOS;
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() - deadline > 0) {
--- a/daemon/src/test/java/org/redwingladder/request/RawBackend.java
+++ b/http/src/test/java/org/redwingladder/http/RawBackend.java
@@ -1,4 +1,4 @@
-package org.redwingladder.request;
+package org.redwingladder.http;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
@@ -20,16 +20,16 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Answers requests over plain sockets, so that a test can send any bytes at any time. */
-final class RawBackend implements AutoCloseable {
+public final class RawBackend implements AutoCloseable {
     /** Answers one request; returns false to close the connection. */
-    interface Behaviour {
+    public interface Behaviour {
         boolean answer(Received request, OutputStream out) throws IOException;
     }
 
     /** Holds a request and the number of the connection it came on. */
-    record Received(
+    public record Received(
             String method, String path, Map<String, String> headers, byte[] body, int connection) {
-        String id() {
+        public String id() {
             return headers.getOrDefault("redwing-request-id", "");
         }
     }
@@ -38,36 +38,37 @@
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private final List<Received> mJournal = new CopyOnWriteArrayList<>();
     private final AtomicInteger mConnections = new AtomicInteger();
+    private final Thread mAcceptor;
     private volatile Behaviour mBehaviour;
 
-    RawBackend(Behaviour behaviour) throws IOException {
+    public RawBackend(Behaviour behaviour) throws IOException {
         mBehaviour = behaviour;
         mServer = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
-        Thread.ofVirtual().start(this::accept);
+        mAcceptor = Thread.ofVirtual().start(this::accept);
     }
 
-    void behave(Behaviour behaviour) {
+    public void behave(Behaviour behaviour) {
         mBehaviour = behaviour;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return new InetSocketAddress(mServer.getInetAddress(), mServer.getLocalPort());
     }
 
     /** Returns the requests that arrived whole, in order. */
-    List<Received> journal() {
+    public List<Received> journal() {
         return mJournal;
     }
 
-    long runs(String requestId) {
+    public long runs(String requestId) {
         return mJournal.stream().filter(r -> r.id().equals(requestId)).count();
     }
 
-    int connections() {
+    public int connections() {
         return mConnections.get();
     }
 
-    int open() {
+    public int open() {
         return mSockets.size();
     }
 
@@ -136,13 +137,13 @@
     }
 
     /** Writes an answer with the request's id and a correct length. */
-    static boolean answer(Received request, OutputStream out, int status, String body)
+    public static boolean answer(Received request, OutputStream out, int status, String body)
             throws IOException {
         out.write((head(request.id(), status, body.length()) + body).getBytes(ISO_8859_1));
         return true;
     }
 
-    static String head(String requestId, int status, int length) {
+    public static String head(String requestId, int status, int length) {
         return "HTTP/1.1 "
                 + status
                 + " X\r\nRedwing-Request-Id: "
@@ -152,9 +153,16 @@
                 + "\r\n\r\n";
     }
 
+    /** Closes everything and returns when new connections are refused. */
     @Override
     public void close() throws IOException {
         mServer.close();
+        try {
+            // The port stays open until the accepting thread has left the system call.
+            mAcceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : mSockets) {
             socket.close();
         }
