--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -100,14 +100,19 @@
         return new Refuse(request, reason, Outcome.NOT_RUN, retryAtNanos);
     }
 
+    /** Returns how long a request would wait now, which the owner tells the ingress. */
+    public long expectedWaitNanos(WorkClass workClass, long nowNanos) {
+        return expectedWaitNanos(workClass, Long.MAX_VALUE, nowNanos);
+    }
+
     /** Estimates how long a request of the class would wait for a slot. */
     private long expectedWaitNanos(WorkClass workClass, long deadlineNanos, long nowNanos) {
         int free = mSite.mPool.freeSlots(nowNanos);
-        int slots = mSite.mPool.servingSlots(nowNanos);
+        double slots = mSite.mPool.effectiveSlots(nowNanos);
         int longInFlight = mInFlight.count(WorkClass.LONG);
         if (workClass == WorkClass.LONG) {
             int limit = mSite.longLimit(nowNanos);
-            slots = limit;
+            slots = Math.min(slots, limit);
             free = Math.min(free - mQueue.size(WorkClass.SHORT), limit - longInFlight);
         } else {
             slots -= longInFlight;
@@ -117,7 +122,7 @@
             return 0;
         }
         long mean = mSite.times(workClass).meanNanos();
-        return (ahead + 1 - Math.max(0, free)) * mean / Math.max(1, slots);
+        return (long) ((ahead + 1 - Math.max(0, free)) * mean / Math.max(0.1, slots));
     }
 
     /** Returns the sends that are possible now, and refusals of requests that expired meanwhile. */
--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -30,7 +30,7 @@
     private final String mZone;
     private final RosterView mView;
     private final NavigableMap<Long, Settings> mVersions;
-    private final Map<String, Long> mAcks;
+    private final Acks mAcks;
     private final Set<String> mLeaving;
     private final Derived mDerived;
 
@@ -54,7 +54,7 @@
             ClusterSnapshot other,
             RosterView view,
             NavigableMap<Long, Settings> versions,
-            Map<String, Long> acks,
+            Acks acks,
             Set<String> leaving,
             Derived derived) {
         mSelf = other.mSelf;
@@ -71,7 +71,7 @@
         mZone = zone;
         mView = new RosterView(null, false, Set.of(), Long.MIN_VALUE);
         mVersions = new TreeMap<>();
-        mAcks = Map.of();
+        mAcks = Acks.of(0, Map.of());
         mLeaving = Set.of();
         mDerived = new Derived(Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
     }
@@ -84,7 +84,7 @@
         return new ClusterSnapshot(this, view, mVersions, mAcks, mLeaving, mDerived);
     }
 
-    ClusterSnapshot withSettings(NavigableMap<Long, Settings> versions, Map<String, Long> acks) {
+    ClusterSnapshot withSettings(NavigableMap<Long, Settings> versions, Acks acks) {
         return new ClusterSnapshot(this, mView, versions, acks, mLeaving, mDerived);
     }
 
@@ -116,7 +116,7 @@
             for (String service : mView.sites()) {
                 Site site = new Site(service, mZone);
                 if (settings.sites().contains(site)) {
-                    CapParts parts = CapParts.of(mVersions, Acks.of(0, mAcks), site);
+                    CapParts parts = CapParts.of(mVersions, mAcks, site);
                     long until = carriedOver.getOrDefault(service, System.nanoTime());
                     sites.put(service, SiteSpec.of(settings, site, parts, mLeaving, until));
                 }
@@ -147,7 +147,7 @@
         return mVersions.isEmpty() ? 0 : mVersions.lastKey();
     }
 
-    Map<String, Long> acks() {
+    Acks acks() {
         return mAcks;
     }
 
