--- a/daemon/src/main/java/org/redwingladder/request/ClientHandler.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClientHandler.java
@@ -68,6 +68,7 @@
 
     private void start(InboundRequest request, ClientSink sink) {
         sink.request(request);
+        ClientWatch watch = ClientWatch.start(request.exchange());
         Runnable cancel;
         try {
             cancel =
@@ -78,8 +79,7 @@
             sink.refused(e.refusal());
             return;
         }
-        ClientWatch.start(
-                request.exchange(),
+        watch.onGone(
                 () -> {
                     mParts.metrics().clientGone();
                     cancel.run();
--- a/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
@@ -11,21 +12,22 @@
  * Notices that a client has gone while its request is worked on.
  *
  * <p>The server does not read from a connection between a request and its answer. Without this
- * watch the work of a client that has gone would stay in the queue and would run.
+ * watch the work of a client that has gone would stay in the queue and would run. The watch starts
+ * before the work does: after the answer the connection's reads belong to the server again.
  */
 final class ClientWatch {
     private final HttpServerExchange mExchange;
-    private final Runnable mGone;
     private boolean mWatching;
+    private boolean mIsGone;
+    private @Nullable Runnable mOnGone;
 
-    private ClientWatch(HttpServerExchange exchange, Runnable gone) {
+    private ClientWatch(HttpServerExchange exchange) {
         mExchange = exchange;
-        mGone = gone;
     }
 
-    /** Calls {@code gone} at most once; runs in the exchange's I/O thread. */
-    static ClientWatch start(HttpServerExchange exchange, Runnable gone) {
-        ClientWatch watch = new ClientWatch(exchange, gone);
+    /** Starts to watch the client of a request that was read whole; runs in its I/O thread. */
+    static ClientWatch start(HttpServerExchange exchange) {
+        ClientWatch watch = new ClientWatch(exchange);
         if (exchange.getConnection() instanceof HttpServerConnection connection
                 && connection.getExtraBytes() == null) {
             watch.mWatching = true;
@@ -41,6 +43,17 @@
         return watch;
     }
 
+    /** Sets what to do, at most once, when the client has gone. */
+    void onGone(Runnable step) {
+        synchronized (this) {
+            if (!mIsGone) {
+                mOnGone = step;
+                return;
+            }
+        }
+        step.run();
+    }
+
     private synchronized void stop(ConduitStreamSourceChannel source) {
         if (mWatching) {
             mWatching = false;
@@ -77,7 +90,18 @@
                 }
             }
         }
+        gone();
+    }
+
+    private void gone() {
         IoUtils.safeClose(mExchange.getConnection());
-        mGone.run();
+        Runnable step;
+        synchronized (this) {
+            mIsGone = true;
+            step = mOnGone;
+        }
+        if (step != null) {
+            step.run();
+        }
     }
 }
--- a/daemon/src/main/java/org/redwingladder/request/PeerHandler.java
+++ b/daemon/src/main/java/org/redwingladder/request/PeerHandler.java
@@ -49,9 +49,9 @@
         }
         Explanation explanation =
                 mParts.explanations().start(request.requestId(), request.service().name(), "owner");
+        ClientWatch watch = ClientWatch.start(exchange);
         Runnable cancel = owner.offer(request, sink, explanation);
-        ClientWatch.start(
-                exchange,
+        watch.onGone(
                 () -> {
                     cancel.run();
                     sink.abandoned();
--- a/daemon/src/main/java/org/redwingladder/request/PeerOnceHandler.java
+++ b/daemon/src/main/java/org/redwingladder/request/PeerOnceHandler.java
@@ -33,12 +33,13 @@
 
     private void serve(InboundRequest request) {
         ReplySink sink = new ReplySink(request.exchange(), request.requestId(), mInFlight.enter());
+        ClientWatch watch = ClientWatch.start(request.exchange());
         try {
             mOnce.startForwarded(request, sink);
         } catch (RefusedException e) {
             sink.refused(e.refusal());
             return;
         }
-        ClientWatch.start(request.exchange(), sink::abandoned);
+        watch.onGone(sink::abandoned);
     }
 }
--- a/daemon/src/main/java/org/redwingladder/request/RequestReader.java
+++ b/daemon/src/main/java/org/redwingladder/request/RequestReader.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -150,16 +151,21 @@
                                 TimeUnit.NANOSECONDS);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(MAX_BODY_BYTES);
+        // A body that comes after the head is received in a call of its own, whose end would end
+        // the exchange if the rest were not dispatched.
         receiver.receiveFullBytes(
                 (same, bytes) -> {
                     timer.remove();
-                    next.accept(head.withBody(bytes));
+                    exchange.dispatch(
+                            SameThreadExecutor.INSTANCE, () -> next.accept(head.withBody(bytes)));
                 },
                 (same, cause) -> {
                     timer.remove();
                     if (cause instanceof Receiver.RequestToLargeException
                             || cause instanceof io.undertow.server.RequestTooBigException) {
-                        refused.accept(tooLarge(exchange));
+                        exchange.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                () -> refused.accept(tooLarge(exchange)));
                     } else {
                         IoUtils.safeClose(exchange.getConnection());
                     }
--- a/daemon/src/test/java/org/redwingladder/request/TestHost.java
+++ b/daemon/src/test/java/org/redwingladder/request/TestHost.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import org.redwingladder.http.CallerLimits;
 import org.redwingladder.http.HttpCaller;
-import org.redwingladder.http.HttpListener;
 import org.redwingladder.once.TokenSigner;
 import org.redwingladder.platform.PlatformClient;
 import org.xnio.OptionMap;
@@ -26,8 +25,8 @@
     final RequestPath mPath;
     final HttpCaller mCaller;
     private final XnioWorker mWorker;
-    private final HttpListener mClients;
-    private final HttpListener mPeers;
+    private final TestListener mClients;
+    private final TestListener mPeers;
 
     TestHost(FakeCluster cluster, String name, String zone, InetSocketAddress platform)
             throws IOException {
@@ -52,8 +51,8 @@
                         TokenSigner.of(TOKEN_KEY),
                         mMetrics);
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        mClients = HttpListener.open(any, mWorker, buffers, 1 << 20, mPath.clientHandler());
-        mPeers = HttpListener.open(any, mWorker, buffers, 1 << 20, mPath.peerHandler());
+        mClients = TestListener.open(any, mWorker, buffers, 1 << 20, mPath.clientHandler());
+        mPeers = TestListener.open(any, mWorker, buffers, 1 << 20, mPath.peerHandler());
         cluster.mPeers.put(name, mPeers.address());
         cluster.mClients.put(name, mClients.address());
     }
--- a/http/src/main/java/org/redwingladder/http/HttpListener.java
+++ b/daemon/src/test/java/org/redwingladder/request/TestListener.java
@@ -1,4 +1,4 @@
-package org.redwingladder.http;
+package org.redwingladder.request;
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -10,7 +10,7 @@
 import org.xnio.XnioWorker;
 
 /** Accepts HTTP connections on one address, with bounds on what a client may send. */
-public final class HttpListener implements AutoCloseable {
+final class TestListener implements AutoCloseable {
     /** Holds the headers of any sensible request; Undertow's own limit is a megabyte. */
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
@@ -24,7 +24,7 @@
 
     private final Undertow mServer;
 
-    private HttpListener(Undertow server) {
+    private TestListener(Undertow server) {
         mServer = server;
     }
 
@@ -35,7 +35,7 @@
      * @param maxBodyBytes the longest request body
      * @throws IOException if the address cannot be bound
      */
-    public static HttpListener open(
+    static TestListener open(
             InetSocketAddress address,
             XnioWorker worker,
             ByteBufferPool buffers,
@@ -65,14 +65,13 @@
         try {
             server.start();
         } catch (RuntimeException e) {
-            throw new IOException(
-                    "cannot listen on " + Addresses.format(address) + ": " + e.getMessage(), e);
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
         }
-        return new HttpListener(server);
+        return new TestListener(server);
     }
 
     /** Returns the address that is listened on. */
-    public InetSocketAddress address() {
+    InetSocketAddress address() {
         return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
     }
 
