--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/OnceTest.java
@@ -0,0 +1,152 @@
+package org.redwingladder.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.Json;
+import org.redwingladder.http.RawBackend;
+import org.redwingladder.once.Token;
+import org.redwingladder.once.TokenSigner;
+import org.redwingladder.request.TestDeployment.Reply;
+
+class OnceTest {
+    private final TestDeployment mDeployment = new TestDeployment();
+    private final AtomicReference<RawBackend.Behaviour> mWork = new AtomicReference<>();
+    private RawBackend mNear;
+    private RawBackend mFar;
+
+    @BeforeEach
+    void start() throws Exception {
+        mWork.set((request, out) -> RawBackend.answer(request, out, 201, "paid"));
+        mNear = mDeployment.zone("near", "e1", (request, out) -> mWork.get().answer(request, out));
+        mFar = mDeployment.zone("far", "e2", (request, out) -> mWork.get().answer(request, out));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mDeployment.close();
+    }
+
+    private int runs() {
+        return mNear.journal().size() + mFar.journal().size();
+    }
+
+    @Nested
+    class Tokens {
+        private String token(String host) throws Exception {
+            Reply reply =
+                    mDeployment.send(
+                            mDeployment
+                                    .request(host, "/v1/lookup?service=shop&block=1&once=true")
+                                    .GET());
+            return Json.tree(reply.body().getBytes()).path("token").asText();
+        }
+
+        private HttpRequest.Builder pay(String host, String token) {
+            return mDeployment
+                    .request(host, "/v1/services/shop/pay")
+                    .header("Redwing-Token", token)
+                    .POST(BodyPublishers.ofString("5"));
+        }
+
+        /** Guards against a repeated payment when a client sends again, here or elsewhere. */
+        @Test
+        void theSecondUseGetsTheFirstAnswer() throws Exception {
+            String token = token("e1");
+            for (String host : List.of("e1", "e1", "e2", "e2")) {
+                Reply reply = mDeployment.send(pay(host, token));
+
+                assertThat(reply.status()).isEqualTo(201);
+                assertThat(reply.body()).isEqualTo("paid");
+            }
+            assertThat(runs()).isEqualTo(1);
+        }
+
+        /** Guards against two runs when a client sends at two hosts at the same time. */
+        @Test
+        void concurrentUsesRunOnce() throws Exception {
+            String token = token("e1");
+            List<CompletableFuture<HttpResponse<String>>> replies = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                replies.add(mDeployment.sendAsync(pay(i % 2 == 0 ? "e1" : "e2", token)));
+            }
+            for (CompletableFuture<HttpResponse<String>> reply : replies) {
+                int status = reply.get(30, TimeUnit.SECONDS).statusCode();
+                assertThat(status).isIn(201, 409);
+            }
+            assertThat(runs()).isEqualTo(1);
+        }
+
+        /** Guards against a second run after an answer was lost. */
+        @Test
+        void lostWorkStaysSpent() throws Exception {
+            mWork.set((request, out) -> false);
+            String token = token("e1");
+
+            Reply lost = mDeployment.send(pay("e1", token));
+            Reply again = mDeployment.send(pay("e2", token));
+
+            assertThat(lost.outcome()).isEqualTo("unknown");
+            assertThat(again.reason()).isEqualTo("token-spent");
+            assertThat(again.outcome()).isEqualTo("unknown");
+            assertThat(runs()).isEqualTo(1);
+        }
+
+        /** Guards against a token that is spent by work that certainly did not run. */
+        @Test
+        void refusedWorkMayBeSentAgain() throws Exception {
+            mDeployment.mCluster.mOwnerByZone.clear();
+            mDeployment.mCluster.changed();
+            String token = token("e1");
+            Reply refused = mDeployment.send(pay("e1", token));
+            mDeployment.mCluster.mOwnerByZone.put("near", "e1");
+            mDeployment.mCluster.changed();
+
+            Reply again = mDeployment.send(pay("e1", token));
+
+            assertThat(refused.outcome()).isEqualTo("not-run");
+            assertThat(again.status()).isEqualTo(201);
+            assertThat(runs()).isEqualTo(1);
+        }
+
+        /** Guards against a restarted host that honours tokens it does not remember. */
+        @Test
+        void anEarlierIncarnationsTokenIsUnknown() throws Exception {
+            String old =
+                    TokenSigner.of(TestHost.TOKEN_KEY)
+                            .sign(new Token("e1", 0, 1, "shop", Long.MAX_VALUE));
+
+            Reply reply = mDeployment.send(pay("e1", old));
+
+            assertThat(reply.reason()).isEqualTo("token-foreign");
+            assertThat(reply.outcome()).isEqualTo("unknown");
+            assertThat(runs()).isZero();
+        }
+
+        /** Guards against work that starts after its token has expired and was forgotten. */
+        @Test
+        void theWorkMustStartBeforeTheTokenExpires() throws Exception {
+            long expiresAt = System.currentTimeMillis() + 2_000;
+            String brief =
+                    TokenSigner.of(TestHost.TOKEN_KEY)
+                            .sign(new Token("e1", 1, 77, "shop", expiresAt));
+
+            Reply reply = mDeployment.send(pay("e2", brief));
+
+            assertThat(reply.status()).isEqualTo(201);
+            long startBy = Long.parseLong(mNear.journal().get(0).headers().get("redwing-start-by"));
+            assertThat(startBy).isLessThanOrEqualTo(expiresAt);
+        }
+    }
+}
