Simulate the roster machine under faults

Several machines run over an in-memory network and table with a virtual clock that differs by up to 2% in rate between processes. Single faults of 13 kinds at the steps of joins, a planned stop and a takeover, and pairs of them, keep at most one process per site that may send, with 500 ms slack for a paused one, and every run ends with all sites served. Four naive versions are caught by the same check: an owner by its local view, a takeover without the settle wait, acknowledgements counted from their arrival, and a lease in the table.

The simulation showed that an operator who declares a replaced host dead would have named its new process too; the declaration now names a process.

--- a/core/src/main/java/org/redwingladder/membership/RosterInput.java
+++ b/core/src/main/java/org/redwingladder/membership/RosterInput.java
@@ -98,9 +98,9 @@
     record Depart() implements RosterInput {}
 
     /**
-     * Reports that the operator vouches that the listed process of a host has ended.
+     * Reports that the operator vouches that a process, and any earlier one of its host, has ended.
      *
-     * @param host the host's name
+     * @param process the process
      */
-    record DeclaredDead(String host) implements RosterInput {}
+    record DeclaredDead(MemberId process) implements RosterInput {}
 }
--- a/core/src/main/java/org/redwingladder/membership/RosterMachine.java
+++ b/core/src/main/java/org/redwingladder/membership/RosterMachine.java
@@ -75,7 +75,7 @@
             case RosterInput.HostsLeaving in -> mHostsLeaving = in.hosts();
             case RosterInput.Leave in -> want(Wanted.LEAVING, now);
             case RosterInput.Depart in -> want(Wanted.GONE, now);
-            case RosterInput.DeclaredDead in -> declaredDead(in.host(), now);
+            case RosterInput.DeclaredDead in -> declaredDead(in.process(), now);
         }
         progress(now, effects);
         return effects;
@@ -271,21 +271,19 @@
         }
     }
 
-    private void declaredDead(String host, long now) {
+    private void declaredDead(MemberId process, long now) {
         Roster roster = mRoster;
-        if (roster == null || host.equals(mSelf.host())) {
+        if (roster == null || process.equals(mSelf.id())) {
             return;
         }
-        for (Member member : roster.previous()) {
-            if (member.host().equals(host)) {
+        List<Member> concerned = new ArrayList<>(roster.members());
+        concerned.addAll(roster.previous());
+        for (Member member : concerned) {
+            if (member.id().equals(process) || process.replaces(member.id())) {
                 mPeers.gone(member.id(), now);
+                mStore.hurry();
             }
         }
-        Member listed = roster.memberOf(host);
-        if (listed != null) {
-            mPeers.gone(listed.id(), now);
-        }
-        mStore.hurry();
     }
 
     private void sendHeartbeats(Roster roster, long now, List<RosterEffect> effects) {
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/membership/NaiveNodes.java
@@ -0,0 +1,120 @@
+package org.redwingladder.membership;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Holds simpler ways to own sites, each of which breaks the rule of one owner. */
+final class NaiveNodes {
+    private NaiveNodes() {}
+
+    /** Wraps a machine and changes what goes in or what is shown. */
+    private static class Wrapper implements SimulatedProcess.Node {
+        final RosterMachine machine;
+        final Member self;
+
+        Wrapper(Member self, String zone, HeartbeatSchedule schedule) {
+            this.self = self;
+            machine = RosterMachine.create(self, zone, schedule);
+        }
+
+        @Override
+        public List<RosterEffect> handle(RosterInput input, long now) {
+            return machine.handle(input, now);
+        }
+
+        @Override
+        public RosterView view() {
+            return machine.view();
+        }
+    }
+
+    /** Acts as owner of what its latest roster gives it, confirmed or not. */
+    static SimulatedProcess.Node ownerByLocalView(
+            Member self, String zone, HeartbeatSchedule schedule) {
+        return new Wrapper(self, zone, schedule) {
+            @Override
+            public RosterView view() {
+                RosterView view = machine.view();
+                return new RosterView(
+                        view.roster(),
+                        view.member(),
+                        view.sites(),
+                        view.member() ? Long.MAX_VALUE : Long.MIN_VALUE);
+            }
+        };
+    }
+
+    /** Takes over as soon as the row names it, without waiting for the old owner. */
+    static SimulatedProcess.Node takeoverAtOnce(
+            Member self, String zone, HeartbeatSchedule schedule) {
+        return new Wrapper(self, zone, schedule) {
+            @Override
+            public RosterView view() {
+                RosterView view = machine.view();
+                return new RosterView(
+                        view.roster(), view.member(), owned(view.roster()), view.confirmedUntil());
+            }
+
+            private Set<String> owned(@Nullable Roster roster) {
+                return roster == null
+                        ? Set.of()
+                        : new HashSet<>(
+                                Ownership.ownedBy(
+                                        roster.members(), ZoneSimulation.SERVICES, self.id()));
+            }
+        };
+    }
+
+    /** Counts an acknowledgement from the time at which it arrives. */
+    static SimulatedProcess.Node countedFromArrival(
+            Member self, String zone, HeartbeatSchedule schedule) {
+        return new Wrapper(self, zone, schedule) {
+            @Override
+            public List<RosterEffect> handle(RosterInput input, long now) {
+                if (input instanceof RosterInput.HeartbeatAnswered answered) {
+                    RosterEffect.SendHeartbeat sent = answered.sent();
+                    return machine.handle(
+                            new RosterInput.HeartbeatAnswered(
+                                    new RosterEffect.SendHeartbeat(
+                                            sent.to(), sent.heartbeat(), now),
+                                    answered.answer()),
+                            now);
+                }
+                return machine.handle(input, now);
+            }
+        };
+    }
+
+    /**
+     * Holds a lease of 15 s that each read of the row renews, counted from the arrival of the
+     * answer. The holder goes on while the others, whom it no longer reaches, give its sites away.
+     */
+    static SimulatedProcess.Node leaseInTheTable(
+            Member self, String zone, HeartbeatSchedule schedule) {
+        return new Wrapper(self, zone, schedule) {
+            private long mLeaseUntil = Long.MIN_VALUE;
+
+            @Override
+            public List<RosterEffect> handle(RosterInput input, long now) {
+                List<RosterEffect> effects = machine.handle(input, now);
+                if (input instanceof RosterInput.RowRead
+                        || input instanceof RosterInput.WriteDone) {
+                    mLeaseUntil = now + 15_000;
+                }
+                return effects;
+            }
+
+            @Override
+            public RosterView view() {
+                RosterView view = machine.view();
+                return new RosterView(
+                        view.roster(),
+                        view.member(),
+                        view.sites(),
+                        view.member() ? mLeaseUntil : Long.MIN_VALUE);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/membership/RosterMachineTest.java
@@ -0,0 +1,366 @@
+package org.redwingladder.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.membership.SimulatedProcess.State;
+
+class RosterMachineTest {
+    private static final long LAST_FAULT_AT = 45_000;
+    private static final long HEALED_AT = 70_000;
+    private static final long END = 130_000;
+
+    /** Names what goes wrong at a step of the protocol. */
+    enum Fault {
+        CRASH,
+        RESTART,
+        REPLACE,
+        PAUSE,
+        SHORT_PAUSE,
+        PAUSE_WITH_ANSWERS_DUE,
+        CUT_BOTH_WAYS,
+        CUT_OUTWARD,
+        CUT_INWARD,
+        PLATFORM_DOWN,
+        CUT_FROM_PLATFORM,
+        LOST_ANSWER,
+        STALE_READS
+    }
+
+    /** Runs joins, a planned stop and a crash, with the given faults before the given steps. */
+    private static final class Scenario {
+        final ZoneSimulation zone;
+        private final List<Fault> mFaults;
+        private final List<Integer> mSteps;
+        private int mFormedAt = Integer.MAX_VALUE;
+
+        Scenario(
+                long seed,
+                SimulatedProcess.Mechanism mechanism,
+                List<Fault> faults,
+                List<Integer> steps) {
+            zone = new ZoneSimulation(seed, mechanism);
+            mFaults = faults;
+            mSteps = steps;
+            zone.hook =
+                    (step, process, effect) -> {
+                        for (int i = 0; i < mFaults.size(); i++) {
+                            if (step == mFormedAt + mSteps.get(i) && zone.time() < LAST_FAULT_AT) {
+                                inject(mFaults.get(i), process);
+                            }
+                        }
+                    };
+        }
+
+        /** Runs to the end; returns the number of steps at which a fault can be injected. */
+        int run() {
+            SimulatedProcess leaver = zone.start("a");
+            zone.runUntil(2_000);
+            SimulatedProcess crasher = zone.start("b");
+            zone.start("c");
+            zone.start("d");
+            zone.runUntil(10_000);
+            mFormedAt = zone.steps();
+            zone.at(10_100, () -> zone.start("e"));
+            zone.at(15_000, () -> zone.deliver(leaver, new RosterInput.Leave()));
+            zone.at(20_000, () -> zone.deliver(leaver, new RosterInput.Depart()));
+            zone.at(25_000, () -> zone.crash(crasher));
+            zone.runUntil(LAST_FAULT_AT);
+            int steps = zone.steps() - mFormedAt;
+            zone.runUntil(HEALED_AT);
+            zone.cuts.clear();
+            zone.cutFromPlatform.clear();
+            zone.platformDown = false;
+            zone.staleReads = false;
+            zone.answersToLose = 0;
+            zone.runUntil(HEALED_AT + 25_000);
+            vouchForTheDead();
+            zone.runUntil(END);
+            return steps;
+        }
+
+        // Only an operator can end the wait for voters that are lost for good.
+        private void vouchForTheDead() {
+            for (SimulatedProcess dead : zone.processes) {
+                if (dead.state == State.DEAD || dead.left) {
+                    MemberId id = dead.self.id();
+                    for (SimulatedProcess process : zone.processes) {
+                        zone.deliver(process, new RosterInput.DeclaredDead(id));
+                    }
+                }
+            }
+        }
+
+        private void inject(Fault fault, SimulatedProcess process) {
+            String host = process.self.host();
+            long now = zone.time();
+            switch (fault) {
+                case CRASH -> zone.crash(process);
+                case RESTART -> {
+                    zone.crash(process);
+                    zone.at(now + 1500, () -> zone.start(host, process.self.peerAddress()));
+                }
+                case REPLACE -> {
+                    zone.crash(process);
+                    zone.at(now + 3000, () -> zone.start(host));
+                }
+                case PAUSE -> zone.pause(process, 20_000);
+                case SHORT_PAUSE -> zone.pause(process, 5_700);
+                case PAUSE_WITH_ANSWERS_DUE -> process.pauseAfterHeartbeat = true;
+                case CUT_BOTH_WAYS -> {
+                    cut(host, true, true);
+                    zone.at(now + 20_000, zone.cuts::clear);
+                }
+                case CUT_OUTWARD -> {
+                    cut(host, true, false);
+                    zone.at(now + 20_000, zone.cuts::clear);
+                }
+                case CUT_INWARD -> {
+                    cut(host, false, true);
+                    zone.at(now + 20_000, zone.cuts::clear);
+                }
+                case PLATFORM_DOWN -> {
+                    zone.platformDown = true;
+                    zone.at(now + 20_000, () -> zone.platformDown = false);
+                }
+                case CUT_FROM_PLATFORM -> zone.cutFromPlatform.add(host);
+                case LOST_ANSWER -> zone.answersToLose += 2;
+                case STALE_READS -> {
+                    zone.staleReads = true;
+                    zone.at(now + 20_000, () -> zone.staleReads = false);
+                }
+                default -> throw new AssertionError(fault);
+            }
+        }
+
+        private void cut(String host, boolean outward, boolean inward) {
+            for (String other : List.of("a", "b", "c", "d", "e")) {
+                if (!other.equals(host)) {
+                    if (outward) {
+                        zone.cuts.add(host + ">" + other);
+                    }
+                    if (inward) {
+                        zone.cuts.add(other + ">" + host);
+                    }
+                }
+            }
+        }
+    }
+
+    private static void runAndCheck(
+            long seed,
+            SimulatedProcess.Mechanism mechanism,
+            List<Fault> faults,
+            List<Integer> steps) {
+        String name = "seed " + seed + " " + faults + " before steps " + steps;
+        try {
+            Scenario scenario = new Scenario(seed, mechanism, faults, steps);
+            scenario.run();
+            assertThat(scenario.zone.unserved())
+                    .as(
+                            "%s: unserved at the end; row %s; processes %s",
+                            name, scenario.zone.table.current(), scenario.zone.processes)
+                    .isEmpty();
+        } catch (ZoneSimulation.TwoOwnersException e) {
+            throw new ZoneSimulation.TwoOwnersException(name + ": " + e.getMessage());
+        }
+    }
+
+    private static int stepsOf(SimulatedProcess.Mechanism mechanism) {
+        return new Scenario(1, mechanism, List.of(), List.of()).run();
+    }
+
+    /** Returns the first violation that single faults at all steps provoke, or an empty text. */
+    private static String firstViolation(SimulatedProcess.Mechanism mechanism) {
+        int seed = 0;
+        int steps = stepsOf(ZoneSimulation::machine);
+        for (Fault fault :
+                List.of(Fault.PAUSE, Fault.CUT_BOTH_WAYS, Fault.PAUSE_WITH_ANSWERS_DUE)) {
+            for (int step = 0; step < steps; step += 3) {
+                try {
+                    new Scenario(seed++, mechanism, List.of(fault), List.of(step)).run();
+                } catch (ZoneSimulation.TwoOwnersException e) {
+                    return e.getMessage();
+                }
+            }
+        }
+        return "";
+    }
+
+    @Nested
+    class WithOneFault {
+        /**
+         * Guards against two owners of a site, and against a zone that does not recover, after any
+         * single fault at any step of joins, a planned stop and a takeover.
+         */
+        @Test
+        void keepsOneOwnerAndRecovers() {
+            int steps = stepsOf(ZoneSimulation::machine);
+            assertThat(steps).isGreaterThan(50);
+            int seed = 0;
+            for (Fault fault : Fault.values()) {
+                for (int step = fault.ordinal() % 3; step < steps; step += 3) {
+                    runAndCheck(seed++, ZoneSimulation::machine, List.of(fault), List.of(step));
+                }
+            }
+        }
+    }
+
+    @Nested
+    class WithTwoFaults {
+        /** Guards against two owners of a site when a second fault hits while one is handled. */
+        @Test
+        void keepsOneOwnerAndRecovers() {
+            int steps = stepsOf(ZoneSimulation::machine);
+            SplittableRandom random = new SplittableRandom(7);
+            int seed = 10_000;
+            for (Fault first : Fault.values()) {
+                for (Fault second : Fault.values()) {
+                    for (int i = 0; i < 3; i++) {
+                        int step = random.nextInt(steps);
+                        int later = step + random.nextInt(1, 30);
+                        runAndCheck(
+                                seed++,
+                                ZoneSimulation::machine,
+                                List.of(first, second),
+                                List.of(step, later));
+                    }
+                }
+            }
+        }
+    }
+
+    @Nested
+    class WithoutFaults {
+        /** Guards against a planned stop during which a site has no owner. */
+        @Test
+        void handsOverWithoutAGap() {
+            ZoneSimulation zone = new ZoneSimulation(3, ZoneSimulation::machine);
+            List<SimulatedProcess> processes = new ArrayList<>();
+            for (String host : List.of("a", "b", "c", "d")) {
+                processes.add(zone.start(host));
+            }
+            zone.runUntil(10_000);
+            assertThat(zone.unserved()).isEmpty();
+            zone.deliver(processes.get(1), new RosterInput.Leave());
+            long longest = 0;
+            long unservedSince = -1;
+            for (long time = 10_001; time < 14_000; time++) {
+                zone.runUntil(time);
+                if (zone.unserved().isEmpty()) {
+                    unservedSince = -1;
+                } else {
+                    unservedSince = unservedSince < 0 ? time : unservedSince;
+                    longest = Math.max(longest, time - unservedSince + 1);
+                }
+            }
+            assertThat(processes.get(1).view.sites()).isEmpty();
+            // One round of messages tells the epoch, a second one confirms the new owners.
+            assertThat(longest).isLessThanOrEqualTo(25);
+        }
+
+        /** Guards against owners that stop when nobody can read or write the platform's table. */
+        @Test
+        void servesThroughALongOutageOfThePlatform() {
+            ZoneSimulation zone = new ZoneSimulation(4, ZoneSimulation::machine);
+            for (String host : List.of("a", "b", "c", "d")) {
+                zone.start(host);
+            }
+            zone.runUntil(10_000);
+            zone.platformDown = true;
+            for (long time = 10_000; time < 3_610_000; time += 500) {
+                zone.runUntil(time);
+                assertThat(zone.unserved()).as("at %d", time).isEmpty();
+            }
+        }
+
+        /** Guards against a minority that goes on when its zone is split in two. */
+        @Test
+        void onlyTheQuorumServesInASplitZone() {
+            ZoneSimulation zone = new ZoneSimulation(5, ZoneSimulation::machine);
+            List<SimulatedProcess> processes = new ArrayList<>();
+            for (String host : List.of("a", "b", "c", "d")) {
+                processes.add(zone.start(host));
+                zone.runUntil(zone.time() + 3000);
+            }
+            zone.platformDown = true;
+            for (String left : List.of("a", "b")) {
+                for (String right : List.of("c", "d")) {
+                    zone.cuts.add(left + ">" + right);
+                    zone.cuts.add(right + ">" + left);
+                }
+            }
+            zone.runUntil(zone.time() + 30_000);
+            assertThat(processes.get(0).view.roster().voters().get(0).host()).isEqualTo("a");
+            for (SimulatedProcess process : processes) {
+                boolean serves =
+                        ZoneSimulation.SERVICES.stream()
+                                .anyMatch(service -> process.maySend(service, zone.time()));
+                boolean inQuorum = List.of("a", "b").contains(process.self.host());
+                assertThat(serves && !inQuorum).as("%s", process).isFalse();
+                if (inQuorum && !process.view.sites().isEmpty()) {
+                    assertThat(serves).as("%s", process).isTrue();
+                }
+            }
+        }
+
+        /** Guards against a zone that stays without owners after all its hosts were restarted. */
+        @Test
+        void recoversFromARestartOfTheWholeZone() {
+            ZoneSimulation zone = new ZoneSimulation(6, ZoneSimulation::machine);
+            List<SimulatedProcess> processes = new ArrayList<>();
+            for (String host : List.of("a", "b", "c", "d")) {
+                processes.add(zone.start(host));
+            }
+            zone.runUntil(10_000);
+            processes.forEach(zone::crash);
+            zone.runUntil(12_000);
+            processes.forEach(p -> zone.start(p.self.host(), p.self.peerAddress()));
+            zone.runUntil(30_000);
+            assertThat(zone.unserved()).isEmpty();
+        }
+
+        /** Guards against a batch of joins that takes one epoch for each process. */
+        @Test
+        void batchesJoins() {
+            ZoneSimulation zone = new ZoneSimulation(8, ZoneSimulation::machine);
+            for (int i = 0; i < 40; i++) {
+                zone.start("h" + i);
+            }
+            zone.runUntil(15_000);
+            assertThat(zone.table.current().roster().members()).hasSize(40);
+            assertThat(zone.table.current().roster().epoch()).isLessThan(15);
+        }
+    }
+
+    @Nested
+    class NaiveVersions {
+        /** Guards against a property that lets an owner act on its local view alone. */
+        @Test
+        void ownerWithoutConfirmationIsCaught() {
+            assertThat(firstViolation(NaiveNodes::ownerByLocalView)).contains("may send for");
+        }
+
+        /** Guards against a property that lets a new owner start before the old one has lapsed. */
+        @Test
+        void takeoverWithoutSettleWaitIsCaught() {
+            assertThat(firstViolation(NaiveNodes::takeoverAtOnce)).contains("may send for");
+        }
+
+        /** Guards against a property that counts an acknowledgement from its arrival. */
+        @Test
+        void acknowledgementCountedFromArrivalIsCaught() {
+            assertThat(firstViolation(NaiveNodes::countedFromArrival)).contains("may send for");
+        }
+
+        /** Guards against a property that accepts a lease in the table that its holder outlives. */
+        @Test
+        void leaseInTheTableIsCaught() {
+            assertThat(firstViolation(NaiveNodes::leaseInTheTable)).contains("may send for");
+        }
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/control/OperatorRoutes.java
+++ b/daemon/src/main/java/org/redwingladder/control/OperatorRoutes.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.redwingladder.membership.Member;
+import org.redwingladder.membership.MemberId;
 import org.redwingladder.membership.Roster;
 import org.redwingladder.membership.RosterInput;
 import org.redwingladder.supervisor.Supervisor;
@@ -25,8 +27,14 @@
     private final Supplier<List<String>> mStopping;
     private final Runnable mDrain;
 
-    /** Names the request to declare a host dead. */
-    record Remove(@Nullable String host, boolean dead) {}
+    /**
+     * Declares a process dead.
+     *
+     * @param host the host
+     * @param incarnation the process; null for the oldest one that the roster names
+     * @param dead must be true
+     */
+    record Remove(@Nullable String host, @Nullable Long incarnation, boolean dead) {}
 
     /** Carries options of a planned stop; there are none yet. */
     record Drain() {}
@@ -102,23 +110,36 @@
                             "expected {\"host\": HOST, \"dead\": true}; dead states that the"
                                     + " process has certainly ended"));
         }
-        Roster roster = mState.roster();
-        boolean listed =
-                roster != null
-                        && (roster.memberOf(host) != null
-                                || roster.previous().stream()
-                                        .anyMatch(member -> member.host().equals(host)));
-        if (!listed) {
+        MemberId process = find(host, request.incarnation());
+        if (process == null) {
             return CompletableFuture.failedFuture(
                     new IllegalArgumentException(
-                            "host " + host + " is no member of zone " + mState.zone()));
+                            "host " + host + " has no such process in zone " + mState.zone()));
         }
-        if (host.equals(mState.member().host())) {
+        if (process.equals(mState.member().id())) {
             return CompletableFuture.failedFuture(
-                    new IllegalArgumentException("host " + host + " is the one that was asked"));
+                    new IllegalArgumentException("process " + process + " is the one asked"));
+        }
+        mRoster.report(new RosterInput.DeclaredDead(process));
+        return CompletableFuture.completedFuture(Map.of("removing", process));
+    }
+
+    // A process of the epoch before comes first: it is what an unsettled epoch waits for, and the
+    // host may already run a new process.
+    private @Nullable MemberId find(String host, @Nullable Long incarnation) {
+        Roster roster = mState.roster();
+        if (roster == null) {
+            return null;
+        }
+        List<Member> named = new ArrayList<>(roster.previous());
+        named.addAll(roster.members());
+        for (Member member : named) {
+            if (member.host().equals(host)
+                    && (incarnation == null || incarnation == member.incarnation())) {
+                return member.id();
+            }
         }
-        mRoster.report(new RosterInput.DeclaredDead(host));
-        return CompletableFuture.completedFuture(Map.of("host", host, "removing", true));
+        return null;
     }
 
     private Map<String, Object> status() {
