Spread settings between entry hosts

The listener for peers' versions names the process instead of the host, because a restarted host starts anew.

--- a/core/src/main/java/org/redwingladder/settings/Change.java
+++ b/core/src/main/java/org/redwingladder/settings/Change.java
@@ -1,5 +1,7 @@
 package org.redwingladder.settings;
 
+import static java.util.Objects.requireNonNull;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
 
@@ -23,7 +25,12 @@
         String author,
         long acceptedAt) {
 
+    /** Checks that nothing is missing and copies the value. */
     public Change {
+        requireNonNull(changeId, "changeId");
+        requireNonNull(team, "team");
+        requireNonNull(path, "path");
+        requireNonNull(author, "author");
         value = value == null || value.isNull() ? null : value.deepCopy();
     }
 }
--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -16,6 +16,7 @@
 import org.redwingladder.api.LookupAnswer;
 import org.redwingladder.lookup.LookupService;
 import org.redwingladder.membership.Member;
+import org.redwingladder.membership.MemberId;
 import org.redwingladder.membership.Roster;
 import org.redwingladder.membership.RosterEffect;
 import org.redwingladder.membership.RosterView;
@@ -206,8 +207,8 @@
     }
 
     /** Passes on by which settings version another member serves. */
-    void peerVersion(String host, String peerAddress, long version) {
-        mVersionListeners.forEach(listener -> listener.heard(host, peerAddress, version));
+    void peerVersion(MemberId member, String peerAddress, long version) {
+        mVersionListeners.forEach(listener -> listener.heard(member, peerAddress, version));
     }
 
     /**
--- a/daemon/src/main/java/org/redwingladder/control/Membership.java
+++ b/daemon/src/main/java/org/redwingladder/control/Membership.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.membership.Member;
+import org.redwingladder.membership.MemberId;
 import org.redwingladder.membership.Roster;
 
 /** Shows other drivers who the members are. All methods may be called from any thread. */
@@ -36,10 +37,10 @@
         /**
          * Reports a version; called often, and on the control loop.
          *
-         * @param host the member's host
+         * @param member the member's process
          * @param peerAddress the member's peer listener
          * @param version the settings version
          */
-        void heard(String host, String peerAddress, long version);
+        void heard(MemberId member, String peerAddress, long version);
     }
 }
--- a/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
+++ b/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
@@ -17,6 +17,7 @@
 import org.redwingladder.membership.Heartbeat;
 import org.redwingladder.membership.HeartbeatAnswer;
 import org.redwingladder.membership.Member;
+import org.redwingladder.membership.MemberId;
 import org.redwingladder.membership.Release;
 import org.redwingladder.membership.Roster;
 import org.redwingladder.membership.RosterEffect;
@@ -132,7 +133,9 @@
                         }
                     }
                     mState.peerVersion(
-                            heartbeat.host(), heartbeat.peerAddress(), heartbeat.settingsVersion());
+                            new MemberId(heartbeat.host(), heartbeat.incarnation()),
+                            heartbeat.peerAddress(),
+                            heartbeat.settingsVersion());
                     answer.complete(found);
                 },
                 cause -> {
@@ -229,7 +232,7 @@
                                     .inc();
                             if (read != null) {
                                 mState.peerVersion(
-                                        read.host(),
+                                        new MemberId(read.host(), read.incarnation()),
                                         sent.to().peerAddress(),
                                         read.settingsVersion());
                                 report(new RosterInput.HeartbeatAnswered(sent, read));
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsMessage.java
@@ -0,0 +1,67 @@
+package org.redwingladder.control;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.settings.Acks;
+import org.redwingladder.settings.Change;
+import org.redwingladder.settings.SettingsTree;
+
+/**
+ * Carries settings from one entry host to another.
+ *
+ * @param host the sender
+ * @param incarnation the sender's incarnation
+ * @param version the sender's settings version
+ * @param served the version that the sender serves by; 0 before the first
+ * @param changes changes in order, if the sender has those that the receiver lacks
+ * @param snapshot the whole document, if it has not
+ * @param acks the acknowledgements that the sender knows
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record SettingsMessage(
+        String host,
+        long incarnation,
+        long version,
+        long served,
+        @Nullable List<Change> changes,
+        @Nullable Snapshot snapshot,
+        @Nullable Acks acks) {
+
+    /**
+     * Carries the document of one version.
+     *
+     * @param version the version
+     * @param subtrees the subtrees by team
+     * @param subtreeVersions the versions of the subtrees by team
+     */
+    public record Snapshot(
+            long version, Map<String, JsonNode> subtrees, Map<String, Long> subtreeVersions) {
+
+        /** Checks that nothing is missing. */
+        public Snapshot {
+            requireNonNull(subtrees, "subtrees");
+            requireNonNull(subtreeVersions, "subtreeVersions");
+        }
+
+        static Snapshot of(SettingsTree tree) {
+            Map<String, JsonNode> subtrees = new TreeMap<>();
+            for (String team : tree.subtreeVersions().keySet()) {
+                JsonNode subtree = tree.subtree(team);
+                if (subtree != null) {
+                    subtrees.put(team, subtree);
+                }
+            }
+            return new Snapshot(tree.version(), subtrees, tree.subtreeVersions());
+        }
+
+        SettingsTree tree() {
+            return SettingsTree.of(version, subtrees, subtreeVersions);
+        }
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +23,9 @@
 import org.redwingladder.control.OperatorRoutes;
 import org.redwingladder.control.PeerRoutes;
 import org.redwingladder.control.RosterDriver;
+import org.redwingladder.control.SettingsDriver;
+import org.redwingladder.control.SettingsRoutes;
+import org.redwingladder.control.SettingsSink;
 import org.redwingladder.control.ZoneExchange;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallerLimits;
@@ -32,6 +36,7 @@
 import org.redwingladder.once.TokenSigner;
 import org.redwingladder.platform.PlatformClient;
 import org.redwingladder.request.RequestPath;
+import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.supervisor.Part;
 import org.redwingladder.supervisor.Supervisor;
@@ -63,6 +68,7 @@
     private final ClusterState mState;
     private final RosterDriver mRoster;
     private final ZoneExchange mZones;
+    private final SettingsDriver mSettings;
     private final RequestPath mRequests;
     private final PlannedStop mStop;
 
@@ -105,6 +111,15 @@
                         this::zonesOfSettings,
                         new SplittableRandom(config.incarnation() ^ config.host().hashCode()),
                         mMetrics);
+        mSettings =
+                SettingsDriver.create(
+                        mState,
+                        new SettingsDelivery(),
+                        mLoop,
+                        mCaller,
+                        mPlatform,
+                        new SplittableRandom(config.incarnation() + config.host().hashCode()),
+                        mMetrics);
         mRequests =
                 RequestPath.create(
                         mState, mCaller, mPlatform, TokenSigner.of(config.tokenKey()), mMetrics);
@@ -180,6 +195,7 @@
     private void run() throws Exception {
         PathHandler peer = new PathHandler(HttpJson.unknownPath());
         PeerRoutes.add(peer, mRoster, mZones);
+        SettingsRoutes.addPeer(peer, mSettings);
         peer.addPrefixPath("/peer/v1/dispatch", keepingPath(mRequests.peerHandler()));
         peer.addPrefixPath("/peer/v1/once", keepingPath(mRequests.peerHandler()));
         PathHandler operator = new PathHandler(HttpJson.unknownPath());
@@ -192,6 +208,7 @@
                         mStop::status,
                         () -> mStop.begin("an operator asked for it", false))
                 .add(operator);
+        SettingsRoutes.addOperator(operator, mSettings);
         registerGauges();
         mRoster.superseded().thenAccept(reason -> mStop.begin("superseded: " + reason, true));
         for (Part part : parts()) {
@@ -209,6 +226,7 @@
         List<Part> parts = new ArrayList<>();
         parts.add(mRoster);
         parts.add(mZones);
+        parts.add(mSettings);
         parts.add(new HostListDriver(mState, mRoster, mLoop, mPlatform, mMetrics));
         parts.add(new LoadReportDriver(mState, mLoop, mCaller, mMetrics));
         return parts;
@@ -222,6 +240,20 @@
         };
     }
 
+    /** Hands settings to the cluster state and tells the roster. */
+    private final class SettingsDelivery implements SettingsSink {
+        @Override
+        public void settings(NavigableMap<Long, Settings> versions, Acks acks) {
+            mState.settings(versions, acks);
+            mRoster.settingsChanged();
+        }
+
+        @Override
+        public void noSettings() {
+            mState.noSettings();
+        }
+    }
+
     private Listener listener(String name, InetSocketAddress address, int connections) {
         return new Listener(name, address, connections, mWorker, mBuffers);
     }
