--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
@@ -0,0 +1,277 @@
+package org.redwingladder.control;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.handlers.PathHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.http.CallerLimits;
+import org.redwingladder.http.HttpCaller;
+import org.redwingladder.http.HttpListener;
+import org.redwingladder.http.Json;
+import org.redwingladder.membership.Member;
+import org.redwingladder.membership.Roster;
+import org.redwingladder.platform.PlatformClient;
+import org.redwingladder.settings.Acks;
+import org.redwingladder.settings.Settings;
+import org.redwingladder.standin.PlatformOptions;
+import org.redwingladder.standin.PlatformServer;
+import org.redwingladder.standin.PlatformTable;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Runs settings drivers over real sockets against a platform stand-in with two listeners, so that
+ * the hosts of one of them can be cut off from the platform. Rosters are set by the test.
+ */
+final class SettingsCluster implements AutoCloseable {
+    private static final InetSocketAddress ANY =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    final PlatformServer mPlatform =
+            PlatformServer.start(new PlatformOptions("127.0.0.1", List.of(0, 0), 0, 0, 0));
+    private final XnioWorker mWorker =
+            Xnio.getInstance()
+                    .createWorker(
+                            OptionMap.builder()
+                                    .set(Options.WORKER_IO_THREADS, 2)
+                                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                                    .set(Options.THREAD_DAEMON, true)
+                                    .getMap());
+    private final DefaultByteBufferPool mBuffers =
+            new DefaultByteBufferPool(true, 16 * 1024, 64, 4);
+    private final Map<String, Roster> mRosters = new ConcurrentHashMap<>();
+    private final List<Host> mHosts = new ArrayList<>();
+
+    SettingsCluster() throws IOException {}
+
+    /** Starts a host with the platform's listener {@code listener}; it is in no roster yet. */
+    Host start(String name, long incarnation, String zone, int listener) throws IOException {
+        Host host = new Host(name, incarnation, zone, listener);
+        mHosts.add(host);
+        return host;
+    }
+
+    /** Writes a roster of {@code hosts}, which are of one zone. */
+    void roster(String zone, long floor, Host... hosts) {
+        List<Member> members = new ArrayList<>();
+        for (Host host : hosts) {
+            members.add(host.member());
+        }
+        Roster before = mRosters.get(zone);
+        long epoch = before == null ? 1 : before.epoch() + 1;
+        Roster roster = new Roster(zone, epoch, members, epoch, floor, 1000, List.of(), 0);
+        JsonNode row = Json.mapper().valueToTree(roster);
+        write(Roster.key(zone), row);
+        mRosters.put(zone, roster);
+    }
+
+    /** Writes a row past all faults. */
+    void write(String key, JsonNode value) {
+        mPlatform
+                .table()
+                .commit(
+                        new PlatformTable.Transaction(
+                                key + System.nanoTime(),
+                                null,
+                                List.of(new PlatformTable.Put(key, value)),
+                                null));
+    }
+
+    /** Returns the acknowledged version of a zone as it is in the table; 0 if there is none. */
+    long ack(String zone) {
+        return mPlatform
+                .table()
+                .row(SettingsStore.ackKey(zone))
+                .map(row -> row.value().path("version").asLong())
+                .orElse(0L);
+    }
+
+    /** Reports the version that {@code from} serves by to {@code to}, as heartbeats do. */
+    static void heartbeat(Host from, Host to) {
+        long served = from.served();
+        to.mLoop.execute(
+                () ->
+                        to.mVersionListeners.forEach(
+                                l ->
+                                        l.heard(
+                                                from.member().id(),
+                                                from.member().peerAddress(),
+                                                served)),
+                cause -> {});
+    }
+
+    @Override
+    public void close() {
+        mHosts.forEach(Host::close);
+        mWorker.shutdownNow();
+        mPlatform.close();
+    }
+
+    /** Is one entry host as far as settings go. */
+    final class Host implements Membership, SettingsSink, AutoCloseable {
+        final ControlLoop mLoop = ControlLoop.create();
+        private final MetricRegistry mMetrics = new MetricRegistry();
+        final List<PeerVersionListener> mVersionListeners = new CopyOnWriteArrayList<>();
+        final List<Long> mServedVersions = new CopyOnWriteArrayList<>();
+        final SettingsDriver mDriver;
+        final SettingsStore mStore;
+        private final HttpCaller mCaller;
+        private final HttpListener mListener;
+        private final Member mMember;
+        private final String mZone;
+        private volatile @Nullable Settings mSettings;
+
+        private Host(String name, long incarnation, String zone, int listener) throws IOException {
+            mZone = zone;
+            mCaller = HttpCaller.create(mWorker, mBuffers, CallerLimits.defaults());
+            PathHandler paths = new PathHandler();
+            mListener = HttpListener.open(ANY, mWorker, mBuffers, 8 << 20, paths);
+            String address = Addresses.format(mListener.address());
+            mMember = new Member(name, incarnation, address, address, Member.State.SERVING);
+            PlatformClient platform =
+                    PlatformClient.create(
+                            mCaller, List.of(Addresses.parse(mPlatform.addresses().get(listener))));
+            mStore = new SettingsStore(platform);
+            mDriver =
+                    SettingsDriver.create(
+                            this,
+                            this,
+                            mLoop,
+                            mCaller,
+                            platform,
+                            new SplittableRandom(incarnation),
+                            mMetrics);
+            SettingsRoutes.addPeer(paths, mDriver);
+            SettingsRoutes.addOperator(paths, mDriver);
+            mDriver.start(
+                    cause -> {
+                        throw new AssertionError("the settings part failed", cause);
+                    });
+        }
+
+        /** Puts a value as team {@code deployment} and waits for the outcome. */
+        SettingsPut.Outcome put(String path, JsonNode value, long subtree, String changeId) {
+            SettingsPut.Request request =
+                    new SettingsPut.Request(
+                            path, value, subtree, changeId, "deployment", "key", name(), 1);
+            return SettingsPut.run(mDriver, request).orTimeout(20, TimeUnit.SECONDS).join();
+        }
+
+        String name() {
+            return mMember.host();
+        }
+
+        long polls() {
+            return mMetrics.counter("settings.polls").getCount();
+        }
+
+        long served() {
+            return mServedVersions.isEmpty() ? 0 : mServedVersions.getLast();
+        }
+
+        /** Returns the look-up lifetime in force, which the tests change. */
+        long lifetime() {
+            Settings settings = mSettings;
+            return settings == null ? 0 : settings.lookupLifetimeMillis();
+        }
+
+        String address() {
+            return mMember.peerAddress();
+        }
+
+        @Override
+        public void settings(NavigableMap<Long, Settings> versions, Acks acks) {
+            mSettings = versions.lastEntry().getValue();
+            mServedVersions.add(versions.lastKey());
+        }
+
+        @Override
+        public void noSettings() {}
+
+        @Override
+        public Member member() {
+            return mMember;
+        }
+
+        @Override
+        public String zone() {
+            return mZone;
+        }
+
+        @Override
+        public @Nullable Roster roster() {
+            Roster roster = mRosters.get(mZone);
+            return roster == null || roster.member(mMember.id()) == null ? null : roster;
+        }
+
+        @Override
+        public List<Member> stewards(String zone) {
+            Roster roster = mRosters.get(zone);
+            return roster == null
+                    ? List.of()
+                    : roster.members().stream().filter(Member::serving).limit(2).toList();
+        }
+
+        @Override
+        public boolean isSteward() {
+            return stewards(mZone).contains(mMember);
+        }
+
+        @Override
+        public List<String> zones() {
+            return mRosters.keySet().stream().sorted().toList();
+        }
+
+        @Override
+        public void addPeerVersionListener(PeerVersionListener listener) {
+            mVersionListeners.add(listener);
+        }
+
+        @Override
+        public void close() {
+            mDriver.stop();
+            mLoop.close();
+            mListener.close();
+            mCaller.close();
+        }
+    }
+
+    /** Returns a deployment part with a look-up lifetime that tells versions apart. */
+    static ObjectNode deployment(long lifetime) {
+        try {
+            ObjectNode node =
+                    (ObjectNode)
+                            Json.mapper()
+                                    .readTree(
+                                            """
+                                            {"blockCount": 10,
+                                             "regions": {"viti": {"zones": ["suva", "nadi"]}},
+                                             "blocks": {"b0": {"first": 0, "last": 9,
+                                               "region": "viti"}},
+                                             "teams": {"store": {"keySha256": "KEY"},
+                                               "deployment": {"keySha256": "KEY"}}}
+                                            """
+                                                    .replace("KEY", SettingsPut.sha256("key")));
+            return node.put("lookupLifetimeMillis", lifetime);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- a/daemon/src/test/java/org/redwingladder/request/Eventually.java
+++ b/daemon/src/test/java/org/redwingladder/request/Eventually.java
@@ -7,12 +7,13 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits for conditions that become true in another thread. */
-final class Eventually {
+public final class Eventually {
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
     private Eventually() {}
 
-    static void until(String what, BooleanSupplier condition) {
+    /** Waits until the condition holds, and fails if it does not hold in time. */
+    public static void until(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + LIMIT_NANOS;
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() - deadline > 0) {
