--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -52,6 +52,7 @@
     private volatile ClusterSnapshot mSnapshot;
     private volatile boolean mStopping;
     private volatile boolean mJoined;
+    private volatile Runnable mSettingsListener = () -> {};
 
     private ClusterState(Member self, String zone, ControlLoop loop) {
         mSelf = self;
@@ -290,11 +291,17 @@
             mLookup.update(inForce, copy.lastKey());
         }
         publishHosts();
+        mSettingsListener.run();
     }
 
     @Override
     public void noSettings() {
-        tellListeners();
+        mSettingsListener.run();
+    }
+
+    /** Sets who is told of each delivery of settings, after they are in force. */
+    public void settingsListener(Runnable listener) {
+        mSettingsListener = listener;
     }
 
     /** Returns the settings in force, null before the first. */
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -6,15 +6,18 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.redwingladder.control.ClusterState;
 import org.redwingladder.control.ControlLoop;
 import org.redwingladder.control.HostListDriver;
@@ -25,6 +28,8 @@
 import org.redwingladder.control.RosterDriver;
 import org.redwingladder.control.SettingsDriver;
 import org.redwingladder.control.SettingsRoutes;
+import org.redwingladder.control.SettingsDriver;
+import org.redwingladder.control.SettingsRoutes;
 import org.redwingladder.control.SettingsSink;
 import org.redwingladder.control.ZoneExchange;
 import org.redwingladder.http.Addresses;
@@ -48,6 +53,7 @@
 /** Wires the parts of one entry host together and owns them. */
 public final class Daemon implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String EXPLAIN = "/v1/explain";
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int POOLED_BUFFERS = 256;
     private static final int BUFFERS_PER_THREAD = 4;
@@ -69,6 +75,7 @@
     private final RosterDriver mRoster;
     private final ZoneExchange mZones;
     private final SettingsDriver mSettings;
+    private final SettingsDriver mSettings;
     private final RequestPath mRequests;
     private final PlannedStop mStop;
 
@@ -102,6 +109,11 @@
         mState = ClusterState.create(self, config.zone(), mLoop);
         RosterMachine machine = RosterMachine.create(self, config.zone(), schedule);
         mRoster = RosterDriver.create(machine, mState, mLoop, mCaller, mPlatform, mMetrics);
+        RandomGenerator random =
+                new SplittableRandom(config.incarnation() ^ config.host().hashCode());
+        mSettings =
+                SettingsDriver.create(
+                        mState, mState, mLoop, mCaller, mPlatform, random, mMetrics);
         mZones =
                 new ZoneExchange(
                         mState,
@@ -109,7 +121,7 @@
                         mCaller,
                         mPlatform,
                         this::zonesOfSettings,
-                        new SplittableRandom(config.incarnation() ^ config.host().hashCode()),
+                        random,
                         mMetrics);
         mSettings =
                 SettingsDriver.create(
@@ -198,7 +210,10 @@
         SettingsRoutes.addPeer(peer, mSettings);
         peer.addPrefixPath("/peer/v1/dispatch", keepingPath(mRequests.peerHandler()));
         peer.addPrefixPath("/peer/v1/once", keepingPath(mRequests.peerHandler()));
+        SettingsRoutes.addPeer(peer, mSettings);
         PathHandler operator = new PathHandler(HttpJson.unknownPath());
+        SettingsRoutes.addOperator(operator, mSettings);
+        operator.addPrefixPath(EXPLAIN, HttpJson.get(this::explain));
         new OperatorRoutes(
                         mState,
                         mRoster,
@@ -210,6 +225,7 @@
                 .add(operator);
         SettingsRoutes.addOperator(operator, mSettings);
         registerGauges();
+        mState.settingsListener(mRoster::settingsChanged);
         mRoster.superseded().thenAccept(reason -> mStop.begin("superseded: " + reason, true));
         for (Part part : parts()) {
             mSupervisor.start(part);
@@ -225,6 +241,7 @@
     private List<Part> parts() {
         List<Part> parts = new ArrayList<>();
         parts.add(mRoster);
+        parts.add(mSettings);
         parts.add(mZones);
         parts.add(mSettings);
         parts.add(new HostListDriver(mState, mRoster, mLoop, mPlatform, mMetrics));
@@ -232,6 +249,11 @@
         return parts;
     }
 
+    private Object explain(HttpServerExchange exchange) {
+        String id = exchange.getRequestPath().substring(EXPLAIN.length()).replaceFirst("^/", "");
+        return Map.of("requestId", id, "records", mRequests.explain(id));
+    }
+
     // The path handler strips the prefix from the relative path only; the request URI stays.
     private static HttpHandler keepingPath(HttpHandler handler) {
         return exchange -> {
--- a/daemon/src/test/java/org/redwingladder/request/Eventually.java
+++ b/http/src/test/java/org/redwingladder/http/Eventually.java
@@ -1,4 +1,4 @@
-package org.redwingladder.request;
+package org.redwingladder.http;
 
 import static org.assertj.core.api.Assertions.fail;
 
