--- a/core/src/test/java/org/redwingladder/membership/NaiveNodes.java
+++ b/core/src/test/java/org/redwingladder/membership/NaiveNodes.java
@@ -11,22 +11,22 @@
 
     /** Wraps a machine and changes what goes in or what is shown. */
     private static class Wrapper implements SimulatedProcess.Node {
-        final RosterMachine machine;
-        final Member self;
+        final RosterMachine mMachine;
+        final Member mSelf;
 
         Wrapper(Member self, String zone, HeartbeatSchedule schedule) {
-            this.self = self;
-            machine = RosterMachine.create(self, zone, schedule);
+            mSelf = self;
+            mMachine = RosterMachine.create(self, zone, schedule);
         }
 
         @Override
         public List<RosterEffect> handle(RosterInput input, long now) {
-            return machine.handle(input, now);
+            return mMachine.handle(input, now);
         }
 
         @Override
         public RosterView view() {
-            return machine.view();
+            return mMachine.view();
         }
     }
 
@@ -36,7 +36,7 @@
         return new Wrapper(self, zone, schedule) {
             @Override
             public RosterView view() {
-                RosterView view = machine.view();
+                RosterView view = mMachine.view();
                 return new RosterView(
                         view.roster(),
                         view.member(),
@@ -52,7 +52,7 @@
         return new Wrapper(self, zone, schedule) {
             @Override
             public RosterView view() {
-                RosterView view = machine.view();
+                RosterView view = mMachine.view();
                 return new RosterView(
                         view.roster(), view.member(), owned(view.roster()), view.confirmedUntil());
             }
@@ -62,7 +62,7 @@
                         ? Set.of()
                         : new HashSet<>(
                                 Ownership.ownedBy(
-                                        roster.members(), ZoneSimulation.SERVICES, self.id()));
+                                        roster.members(), ZoneSimulation.SERVICES, mSelf.id()));
             }
         };
     }
@@ -75,14 +75,14 @@
             public List<RosterEffect> handle(RosterInput input, long now) {
                 if (input instanceof RosterInput.HeartbeatAnswered answered) {
                     RosterEffect.SendHeartbeat sent = answered.sent();
-                    return machine.handle(
+                    return mMachine.handle(
                             new RosterInput.HeartbeatAnswered(
                                     new RosterEffect.SendHeartbeat(
                                             sent.to(), sent.heartbeat(), now),
                                     answered.answer()),
                             now);
                 }
-                return machine.handle(input, now);
+                return mMachine.handle(input, now);
             }
         };
     }
@@ -98,7 +98,7 @@
 
             @Override
             public List<RosterEffect> handle(RosterInput input, long now) {
-                List<RosterEffect> effects = machine.handle(input, now);
+                List<RosterEffect> effects = mMachine.handle(input, now);
                 if (input instanceof RosterInput.RowRead
                         || input instanceof RosterInput.WriteDone) {
                     mLeaseUntil = now + 15_000;
@@ -108,7 +108,7 @@
 
             @Override
             public RosterView view() {
-                RosterView view = machine.view();
+                RosterView view = mMachine.view();
                 return new RosterView(
                         view.roster(),
                         view.member(),
--- a/core/src/test/java/org/redwingladder/membership/RosterMachineTest.java
+++ b/core/src/test/java/org/redwingladder/membership/RosterMachineTest.java
@@ -33,7 +33,7 @@
 
     /** Runs joins, a planned stop and a crash, with the given faults before the given steps. */
     private static final class Scenario {
-        final ZoneSimulation zone;
+        final ZoneSimulation mZone;
         private final List<Fault> mFaults;
         private final List<Integer> mSteps;
         private int mFormedAt = Integer.MAX_VALUE;
@@ -43,13 +43,13 @@
                 SimulatedProcess.Mechanism mechanism,
                 List<Fault> faults,
                 List<Integer> steps) {
-            zone = new ZoneSimulation(seed, mechanism);
+            mZone = new ZoneSimulation(seed, mechanism);
             mFaults = faults;
             mSteps = steps;
-            zone.hook =
+            mZone.mHook =
                     (step, process, effect) -> {
                         for (int i = 0; i < mFaults.size(); i++) {
-                            if (step == mFormedAt + mSteps.get(i) && zone.time() < LAST_FAULT_AT) {
+                            if (step == mFormedAt + mSteps.get(i) && mZone.time() < LAST_FAULT_AT) {
                                 inject(mFaults.get(i), process);
                             }
                         }
@@ -58,80 +58,80 @@
 
         /** Runs to the end; returns the number of steps at which a fault can be injected. */
         int run() {
-            SimulatedProcess leaver = zone.start("a");
-            zone.runUntil(2_000);
-            SimulatedProcess crasher = zone.start("b");
-            zone.start("c");
-            zone.start("d");
-            zone.runUntil(10_000);
-            mFormedAt = zone.steps();
-            zone.at(10_100, () -> zone.start("e"));
-            zone.at(15_000, () -> zone.deliver(leaver, new RosterInput.Leave()));
-            zone.at(20_000, () -> zone.deliver(leaver, new RosterInput.Depart()));
-            zone.at(25_000, () -> zone.crash(crasher));
-            zone.runUntil(LAST_FAULT_AT);
-            int steps = zone.steps() - mFormedAt;
-            zone.runUntil(HEALED_AT);
-            zone.cuts.clear();
-            zone.cutFromPlatform.clear();
-            zone.platformDown = false;
-            zone.staleReads = false;
-            zone.answersToLose = 0;
-            zone.runUntil(HEALED_AT + 25_000);
+            SimulatedProcess leaver = mZone.start("a");
+            mZone.runUntil(2_000);
+            SimulatedProcess crasher = mZone.start("b");
+            mZone.start("c");
+            mZone.start("d");
+            mZone.runUntil(10_000);
+            mFormedAt = mZone.steps();
+            mZone.at(10_100, () -> mZone.start("e"));
+            mZone.at(15_000, () -> mZone.deliver(leaver, new RosterInput.Leave()));
+            mZone.at(20_000, () -> mZone.deliver(leaver, new RosterInput.Depart()));
+            mZone.at(25_000, () -> mZone.crash(crasher));
+            mZone.runUntil(LAST_FAULT_AT);
+            int steps = mZone.steps() - mFormedAt;
+            mZone.runUntil(HEALED_AT);
+            mZone.mCuts.clear();
+            mZone.mCutFromPlatform.clear();
+            mZone.mPlatformDown = false;
+            mZone.mStaleReads = false;
+            mZone.mAnswersToLose = 0;
+            mZone.runUntil(HEALED_AT + 25_000);
             vouchForTheDead();
-            zone.runUntil(END);
+            mZone.runUntil(END);
             return steps;
         }
 
         // Only an operator can end the wait for voters that are lost for good.
         private void vouchForTheDead() {
-            for (SimulatedProcess dead : zone.processes) {
-                if (dead.state == State.DEAD || dead.left) {
-                    MemberId id = dead.self.id();
-                    for (SimulatedProcess process : zone.processes) {
-                        zone.deliver(process, new RosterInput.DeclaredDead(id));
+            for (SimulatedProcess dead : mZone.mProcesses) {
+                if (dead.mState == State.DEAD || dead.mLeft) {
+                    MemberId id = dead.mSelf.id();
+                    for (SimulatedProcess process : mZone.mProcesses) {
+                        mZone.deliver(process, new RosterInput.DeclaredDead(id));
                     }
                 }
             }
         }
 
         private void inject(Fault fault, SimulatedProcess process) {
-            String host = process.self.host();
-            long now = zone.time();
+            String host = process.mSelf.host();
+            long now = mZone.time();
             switch (fault) {
-                case CRASH -> zone.crash(process);
+                case CRASH -> mZone.crash(process);
                 case RESTART -> {
-                    zone.crash(process);
-                    zone.at(now + 1500, () -> zone.start(host, process.self.peerAddress()));
+                    mZone.crash(process);
+                    mZone.at(now + 1500, () -> mZone.start(host, process.mSelf.peerAddress()));
                 }
                 case REPLACE -> {
-                    zone.crash(process);
-                    zone.at(now + 3000, () -> zone.start(host));
+                    mZone.crash(process);
+                    mZone.at(now + 3000, () -> mZone.start(host));
                 }
-                case PAUSE -> zone.pause(process, 20_000);
-                case SHORT_PAUSE -> zone.pause(process, 5_700);
-                case PAUSE_WITH_ANSWERS_DUE -> process.pauseAfterHeartbeat = true;
+                case PAUSE -> mZone.pause(process, 20_000);
+                case SHORT_PAUSE -> mZone.pause(process, 5_700);
+                case PAUSE_WITH_ANSWERS_DUE -> process.mPauseAfterHeartbeat = true;
                 case CUT_BOTH_WAYS -> {
                     cut(host, true, true);
-                    zone.at(now + 20_000, zone.cuts::clear);
+                    mZone.at(now + 20_000, mZone.mCuts::clear);
                 }
                 case CUT_OUTWARD -> {
                     cut(host, true, false);
-                    zone.at(now + 20_000, zone.cuts::clear);
+                    mZone.at(now + 20_000, mZone.mCuts::clear);
                 }
                 case CUT_INWARD -> {
                     cut(host, false, true);
-                    zone.at(now + 20_000, zone.cuts::clear);
+                    mZone.at(now + 20_000, mZone.mCuts::clear);
                 }
                 case PLATFORM_DOWN -> {
-                    zone.platformDown = true;
-                    zone.at(now + 20_000, () -> zone.platformDown = false);
+                    mZone.mPlatformDown = true;
+                    mZone.at(now + 20_000, () -> mZone.mPlatformDown = false);
                 }
-                case CUT_FROM_PLATFORM -> zone.cutFromPlatform.add(host);
-                case LOST_ANSWER -> zone.answersToLose += 2;
+                case CUT_FROM_PLATFORM -> mZone.mCutFromPlatform.add(host);
+                case LOST_ANSWER -> mZone.mAnswersToLose += 2;
                 case STALE_READS -> {
-                    zone.staleReads = true;
-                    zone.at(now + 20_000, () -> zone.staleReads = false);
+                    mZone.mStaleReads = true;
+                    mZone.at(now + 20_000, () -> mZone.mStaleReads = false);
                 }
                 default -> throw new AssertionError(fault);
             }
@@ -141,10 +141,10 @@
             for (String other : List.of("a", "b", "c", "d", "e")) {
                 if (!other.equals(host)) {
                     if (outward) {
-                        zone.cuts.add(host + ">" + other);
+                        mZone.mCuts.add(host + ">" + other);
                     }
                     if (inward) {
-                        zone.cuts.add(other + ">" + host);
+                        mZone.mCuts.add(other + ">" + host);
                     }
                 }
             }
@@ -160,10 +160,10 @@
         try {
             Scenario scenario = new Scenario(seed, mechanism, faults, steps);
             scenario.run();
-            assertThat(scenario.zone.unserved())
+            assertThat(scenario.mZone.unserved())
                     .as(
                             "%s: unserved at the end; row %s; processes %s",
-                            name, scenario.zone.table.current(), scenario.zone.processes)
+                            name, scenario.mZone.mTable.current(), scenario.mZone.mProcesses)
                     .isEmpty();
         } catch (ZoneSimulation.TwoOwnersException e) {
             throw new ZoneSimulation.TwoOwnersException(name + ": " + e.getMessage());
@@ -258,7 +258,7 @@
                     longest = Math.max(longest, time - unservedSince + 1);
                 }
             }
-            assertThat(processes.get(1).view.sites()).isEmpty();
+            assertThat(processes.get(1).mView.sites()).isEmpty();
             // One round of messages tells the epoch, a second one confirms the new owners.
             assertThat(longest).isLessThanOrEqualTo(25);
         }
@@ -271,7 +271,7 @@
                 zone.start(host);
             }
             zone.runUntil(10_000);
-            zone.platformDown = true;
+            zone.mPlatformDown = true;
             for (long time = 10_000; time < 3_610_000; time += 500) {
                 zone.runUntil(time);
                 assertThat(zone.unserved()).as("at %d", time).isEmpty();
@@ -287,22 +287,22 @@
                 processes.add(zone.start(host));
                 zone.runUntil(zone.time() + 3000);
             }
-            zone.platformDown = true;
+            zone.mPlatformDown = true;
             for (String left : List.of("a", "b")) {
                 for (String right : List.of("c", "d")) {
-                    zone.cuts.add(left + ">" + right);
-                    zone.cuts.add(right + ">" + left);
+                    zone.mCuts.add(left + ">" + right);
+                    zone.mCuts.add(right + ">" + left);
                 }
             }
             zone.runUntil(zone.time() + 30_000);
-            assertThat(processes.get(0).view.roster().voters().get(0).host()).isEqualTo("a");
+            assertThat(processes.get(0).mView.roster().voters().get(0).host()).isEqualTo("a");
             for (SimulatedProcess process : processes) {
                 boolean serves =
                         ZoneSimulation.SERVICES.stream()
                                 .anyMatch(service -> process.maySend(service, zone.time()));
-                boolean inQuorum = List.of("a", "b").contains(process.self.host());
+                boolean inQuorum = List.of("a", "b").contains(process.mSelf.host());
                 assertThat(serves && !inQuorum).as("%s", process).isFalse();
-                if (inQuorum && !process.view.sites().isEmpty()) {
+                if (inQuorum && !process.mView.sites().isEmpty()) {
                     assertThat(serves).as("%s", process).isTrue();
                 }
             }
@@ -319,7 +319,7 @@
             zone.runUntil(10_000);
             processes.forEach(zone::crash);
             zone.runUntil(12_000);
-            processes.forEach(p -> zone.start(p.self.host(), p.self.peerAddress()));
+            processes.forEach(p -> zone.start(p.mSelf.host(), p.mSelf.peerAddress()));
             zone.runUntil(30_000);
             assertThat(zone.unserved()).isEmpty();
         }
@@ -332,8 +332,8 @@
                 zone.start("h" + i);
             }
             zone.runUntil(15_000);
-            assertThat(zone.table.current().roster().members()).hasSize(40);
-            assertThat(zone.table.current().roster().epoch()).isLessThan(15);
+            assertThat(zone.mTable.current().roster().members()).hasSize(40);
+            assertThat(zone.mTable.current().roster().epoch()).isLessThan(15);
         }
     }
 
--- a/core/src/test/java/org/redwingladder/membership/SimulatedProcess.java
+++ b/core/src/test/java/org/redwingladder/membership/SimulatedProcess.java
@@ -24,43 +24,43 @@
         Node create(Member self, String zone, HeartbeatSchedule schedule);
     }
 
-    final Member self;
-    final Node node;
-    final double clockRate;
-    final long clockOffset;
+    final Member mSelf;
+    final Node mNode;
+    final double mClockRate;
+    final long mClockOffset;
 
     /** Holds the inputs that arrived during a pause. */
-    final Deque<Runnable> inbox = new ArrayDeque<>();
+    final Deque<Runnable> mInbox = new ArrayDeque<>();
 
     /** Holds the effects that were decided on before a pause. */
-    final Deque<Runnable> effects = new ArrayDeque<>();
+    final Deque<Runnable> mEffects = new ArrayDeque<>();
 
-    State state = State.RUNNING;
-    RosterView view;
-    boolean left;
-    boolean superseded;
+    State mState = State.RUNNING;
+    RosterView mView;
+    boolean mLeft;
+    boolean mSuperseded;
 
     /** Asks for a pause that begins before the answers to the next heartbeats arrive. */
-    boolean pauseAfterHeartbeat;
+    boolean mPauseAfterHeartbeat;
 
     SimulatedProcess(Member self, Node node, double clockRate, long clockOffset) {
-        this.self = self;
-        this.node = node;
-        this.clockRate = clockRate;
-        this.clockOffset = clockOffset;
-        view = node.view();
+        mSelf = self;
+        mNode = node;
+        mClockRate = clockRate;
+        mClockOffset = clockOffset;
+        mView = node.view();
     }
 
     /** Hands an input to the node. */
     List<RosterEffect> handle(RosterInput input, long time) {
-        List<RosterEffect> decided = node.handle(input, clock(time));
-        view = node.view();
+        List<RosterEffect> decided = mNode.handle(input, clock(time));
+        mView = mNode.view();
         return decided;
     }
 
     /** Returns the monotonic clock of the process, which goes on during a pause. */
     long clock(long time) {
-        return clockOffset + (long) (time * clockRate);
+        return mClockOffset + (long) (time * mClockRate);
     }
 
     /**
@@ -69,18 +69,18 @@
      * backend server whose wall clock is 500 ms behind starts it that much later.
      */
     boolean maySend(String service, long time) {
-        long slack = state == State.PAUSED ? 500 : 0;
-        return state != State.DEAD && view.maySend(service, clock(time) - slack);
+        long slack = mState == State.PAUSED ? 500 : 0;
+        return mState != State.DEAD && mView.maySend(service, clock(time) - slack);
     }
 
     @Override
     public String toString() {
-        return self.id()
+        return mSelf.id()
                 + " "
-                + state
-                + (left ? " left" : "")
-                + (superseded ? " superseded" : "")
+                + mState
+                + (mLeft ? " left" : "")
+                + (mSuperseded ? " superseded" : "")
                 + " "
-                + view;
+                + mView;
     }
 }
--- a/core/src/test/java/org/redwingladder/membership/ZoneSimulation.java
+++ b/core/src/test/java/org/redwingladder/membership/ZoneSimulation.java
@@ -14,7 +14,7 @@
 import org.redwingladder.membership.SimulatedProcess.State;
 
 /**
- * Runs the processes of one zone over an in-memory network and table with a virtual clock. After
+ * Runs the mProcesses of one zone over an in-memory network and mTable with a virtual clock. After
  * every event it checks that at most one process may send for each site.
  */
 final class ZoneSimulation {
@@ -22,7 +22,7 @@
     static final Set<String> SERVICES = Set.of("s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8");
     private static final long TICK_MILLIS = 100;
 
-    /** Thrown when two processes may send for the same site. */
+    /** Thrown when two mProcesses may send for the same site. */
     static final class TwoOwnersException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
@@ -33,16 +33,16 @@
 
     private record Event(long at, long number, Runnable task) {}
 
-    final SimulatedTable table = new SimulatedTable();
-    final List<SimulatedProcess> processes = new ArrayList<>();
-    final Set<String> cuts = new HashSet<>();
-    final Set<String> cutFromPlatform = new HashSet<>();
-    boolean platformDown;
-    boolean staleReads;
-    int answersToLose;
+    final SimulatedTable mTable = new SimulatedTable();
+    final List<SimulatedProcess> mProcesses = new ArrayList<>();
+    final Set<String> mCuts = new HashSet<>();
+    final Set<String> mCutFromPlatform = new HashSet<>();
+    boolean mPlatformDown;
+    boolean mStaleReads;
+    int mAnswersToLose;
 
     /** Called before each step of the protocol that changes something, with its number. */
-    @Nullable StepHook hook;
+    @Nullable StepHook mHook;
 
     interface StepHook {
         void before(int step, SimulatedProcess process, RosterEffect effect);
@@ -103,7 +103,7 @@
                         mMechanism.create(self, ZONE, HeartbeatSchedule.DEFAULT),
                         rate,
                         mRandom.nextInt(1_000_000));
-        processes.add(process);
+        mProcesses.add(process);
         mByAddress.put(address, process);
         deliver(process, new RosterInput.SettingsChanged(1, SERVICES));
         at(mTime + mRandom.nextInt((int) TICK_MILLIS), () -> tick(process));
@@ -111,28 +111,28 @@
     }
 
     void crash(SimulatedProcess process) {
-        process.state = State.DEAD;
-        process.inbox.clear();
-        process.effects.clear();
+        process.mState = State.DEAD;
+        process.mInbox.clear();
+        process.mEffects.clear();
     }
 
     void pause(SimulatedProcess process, long millis) {
-        if (process.state != State.RUNNING) {
+        if (process.mState != State.RUNNING) {
             return;
         }
-        process.state = State.PAUSED;
+        process.mState = State.PAUSED;
         at(mTime + millis, () -> wake(process));
     }
 
     private void wake(SimulatedProcess process) {
-        if (process.state != State.PAUSED) {
+        if (process.mState != State.PAUSED) {
             return;
         }
-        process.state = State.RUNNING;
+        process.mState = State.RUNNING;
         runEffects(process);
         // Each input is an event of its own, since requests may be sent between any two of them.
-        while (!process.inbox.isEmpty()) {
-            at(mTime, process.inbox.poll());
+        while (!process.mInbox.isEmpty()) {
+            at(mTime, process.mInbox.poll());
         }
     }
 
@@ -157,16 +157,16 @@
         deliver(process, input, answer -> {});
     }
 
-    /** Returns the processes that may send for {@code service}. */
+    /** Returns the mProcesses that may send for {@code service}. */
     List<SimulatedProcess> senders(String service) {
-        return processes.stream().filter(p -> p.maySend(service, mTime)).toList();
+        return mProcesses.stream().filter(p -> p.maySend(service, mTime)).toList();
     }
 
     /** Returns the services that no running process may send for. */
     Set<String> unserved() {
         Set<String> unserved = new TreeSet<>();
         for (String service : SERVICES) {
-            if (senders(service).stream().noneMatch(p -> p.state == State.RUNNING)) {
+            if (senders(service).stream().noneMatch(p -> p.mState == State.RUNNING)) {
                 unserved.add(service);
             }
         }
@@ -180,7 +180,7 @@
     private void check() {
         for (String service : SERVICES) {
             SimulatedProcess first = null;
-            for (SimulatedProcess process : processes) {
+            for (SimulatedProcess process : mProcesses) {
                 if (process.maySend(service, mTime)) {
                     if (first != null) {
                         throw new TwoOwnersException(
@@ -192,7 +192,7 @@
                                         + " at "
                                         + mTime
                                         + "; row "
-                                        + table.current());
+                                        + mTable.current());
                     }
                     first = process;
                 }
@@ -201,32 +201,32 @@
     }
 
     private void tick(SimulatedProcess process) {
-        if (process.state == State.DEAD || process.left || process.superseded) {
+        if (process.mState == State.DEAD || process.mLeft || process.mSuperseded) {
             return;
         }
-        if (process.state == State.RUNNING) {
+        if (process.mState == State.RUNNING) {
             deliver(process, new RosterInput.Tick());
         }
         at(mTime + TICK_MILLIS, () -> tick(process));
     }
 
     private void deliver(SimulatedProcess process, RosterInput input, Answers answers) {
-        if (process.state == State.DEAD) {
+        if (process.mState == State.DEAD) {
             return;
         }
-        if (process.state == State.PAUSED) {
-            process.inbox.add(() -> deliver(process, input, answers));
+        if (process.mState == State.PAUSED) {
+            process.mInbox.add(() -> deliver(process, input, answers));
             return;
         }
         for (RosterEffect effect : process.handle(input, mTime)) {
-            process.effects.add(() -> carryOut(process, effect, answers));
+            process.mEffects.add(() -> carryOut(process, effect, answers));
         }
         runEffects(process);
     }
 
     private void runEffects(SimulatedProcess process) {
-        while (process.state == State.RUNNING && !process.effects.isEmpty()) {
-            process.effects.poll().run();
+        while (process.mState == State.RUNNING && !process.mEffects.isEmpty()) {
+            process.mEffects.poll().run();
         }
     }
 
@@ -241,13 +241,13 @@
     private void carryOut(SimulatedProcess process, RosterEffect effect, Answers answers) {
         if (isStep(effect)) {
             int step = mSteps++;
-            if (hook != null) {
-                hook.before(step, process, effect);
-                if (process.state == State.DEAD) {
+            if (mHook != null) {
+                mHook.before(step, process, effect);
+                if (process.mState == State.DEAD) {
                     return;
                 }
-                if (process.state == State.PAUSED) {
-                    process.effects.addFirst(() -> perform(process, effect, answers));
+                if (process.mState == State.PAUSED) {
+                    process.mEffects.addFirst(() -> perform(process, effect, answers));
                     return;
                 }
             }
@@ -261,14 +261,14 @@
             case RosterEffect.SendRelease send -> send(process, send);
             case RosterEffect.ReadRow read -> read(process);
             case RosterEffect.WriteRow write -> write(process, write);
-            case RosterEffect.Left left -> process.left = true;
-            case RosterEffect.Superseded superseded -> process.superseded = true;
+            case RosterEffect.Left left -> process.mLeft = true;
+            case RosterEffect.Superseded superseded -> process.mSuperseded = true;
             default -> answers.answer(effect);
         }
     }
 
     private boolean open(SimulatedProcess from, SimulatedProcess to) {
-        return !cuts.contains(from.self.host() + ">" + to.self.host());
+        return !mCuts.contains(from.mSelf.host() + ">" + to.mSelf.host());
     }
 
     private long networkDelay() {
@@ -276,8 +276,8 @@
     }
 
     private void send(SimulatedProcess from, RosterEffect.SendHeartbeat sent) {
-        if (from.pauseAfterHeartbeat) {
-            from.pauseAfterHeartbeat = false;
+        if (from.mPauseAfterHeartbeat) {
+            from.mPauseAfterHeartbeat = false;
             at(mTime + 1, () -> pause(from, 20_000));
         }
         SimulatedProcess to = mByAddress.get(sent.to().peerAddress());
@@ -324,7 +324,7 @@
     }
 
     private boolean platformReaches(SimulatedProcess process) {
-        return !platformDown && !cutFromPlatform.contains(process.self.host());
+        return !mPlatformDown && !mCutFromPlatform.contains(process.mSelf.host());
     }
 
     private void read(SimulatedProcess process) {
@@ -334,20 +334,20 @@
                     RosterInput input =
                             platformReaches(process)
                                     ? new RosterInput.RowRead(
-                                            staleReads
-                                                    ? table.stale(1 + mRandom.nextInt(4))
-                                                    : table.current())
+                                            mStaleReads
+                                                    ? mTable.stale(1 + mRandom.nextInt(4))
+                                                    : mTable.current())
                                     : new RosterInput.ReadFailed();
                     at(mTime + 5 + mRandom.nextInt(20), () -> deliver(process, input));
                 });
     }
 
     private void write(SimulatedProcess process, RosterEffect.WriteRow write) {
-        if (answersToLose > 0) {
-            answersToLose--;
+        if (mAnswersToLose > 0) {
+            mAnswersToLose--;
             // The write takes effect at once, or long after the process has given up on it.
             long delay = mRandom.nextBoolean() ? 10 : 3000 + mRandom.nextInt(4000);
-            at(mTime + delay, () -> table.write(write.version(), write.roster()));
+            at(mTime + delay, () -> mTable.write(write.version(), write.roster()));
             at(mTime + 3000, () -> deliver(process, new RosterInput.WriteLost()));
             return;
         }
@@ -357,9 +357,9 @@
                     RosterInput input = new RosterInput.WriteLost();
                     if (platformReaches(process)) {
                         input =
-                                table.write(write.version(), write.roster())
-                                        ? new RosterInput.WriteDone(table.current())
-                                        : new RosterInput.WriteConflict(table.current());
+                                mTable.write(write.version(), write.roster())
+                                        ? new RosterInput.WriteDone(mTable.current())
+                                        : new RosterInput.WriteConflict(mTable.current());
                     }
                     RosterInput result = input;
                     at(mTime + 5 + mRandom.nextInt(20), () -> deliver(process, result));
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -28,8 +28,6 @@
 import org.redwingladder.control.RosterDriver;
 import org.redwingladder.control.SettingsDriver;
 import org.redwingladder.control.SettingsRoutes;
-import org.redwingladder.control.SettingsDriver;
-import org.redwingladder.control.SettingsRoutes;
 import org.redwingladder.control.SettingsSink;
 import org.redwingladder.control.ZoneExchange;
 import org.redwingladder.http.Addresses;
@@ -112,17 +110,10 @@
         RandomGenerator random =
                 new SplittableRandom(config.incarnation() ^ config.host().hashCode());
         mSettings =
-                SettingsDriver.create(
-                        mState, mState, mLoop, mCaller, mPlatform, random, mMetrics);
+                SettingsDriver.create(mState, mState, mLoop, mCaller, mPlatform, random, mMetrics);
         mZones =
                 new ZoneExchange(
-                        mState,
-                        mLoop,
-                        mCaller,
-                        mPlatform,
-                        this::zonesOfSettings,
-                        random,
-                        mMetrics);
+                        mState, mLoop, mCaller, mPlatform, this::zonesOfSettings, random, mMetrics);
         mSettings =
                 SettingsDriver.create(
                         mState,
