--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -52,7 +52,6 @@
     private volatile ClusterSnapshot mSnapshot;
     private volatile boolean mStopping;
     private volatile boolean mJoined;
-    private volatile Runnable mSettingsListener = () -> {};
 
     private ClusterState(Member self, String zone, ControlLoop loop) {
         mSelf = self;
@@ -291,17 +290,11 @@
             mLookup.update(inForce, copy.lastKey());
         }
         publishHosts();
-        mSettingsListener.run();
     }
 
     @Override
     public void noSettings() {
-        mSettingsListener.run();
-    }
-
-    /** Sets who is told of each delivery of settings, after they are in force. */
-    public void settingsListener(Runnable listener) {
-        mSettingsListener = listener;
+        // There is nothing to show, as before.
     }
 
     /** Returns the settings in force, null before the first. */
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -73,7 +73,6 @@
     private final RosterDriver mRoster;
     private final ZoneExchange mZones;
     private final SettingsDriver mSettings;
-    private final SettingsDriver mSettings;
     private final RequestPath mRequests;
     private final PlannedStop mStop;
 
@@ -109,8 +108,6 @@
         mRoster = RosterDriver.create(machine, mState, mLoop, mCaller, mPlatform, mMetrics);
         RandomGenerator random =
                 new SplittableRandom(config.incarnation() ^ config.host().hashCode());
-        mSettings =
-                SettingsDriver.create(mState, mState, mLoop, mCaller, mPlatform, random, mMetrics);
         mZones =
                 new ZoneExchange(
                         mState, mLoop, mCaller, mPlatform, this::zonesOfSettings, random, mMetrics);
@@ -198,12 +195,10 @@
     private void run() throws Exception {
         PathHandler peer = new PathHandler(HttpJson.unknownPath());
         PeerRoutes.add(peer, mRoster, mZones);
-        SettingsRoutes.addPeer(peer, mSettings);
         peer.addPrefixPath("/peer/v1/dispatch", keepingPath(mRequests.peerHandler()));
         peer.addPrefixPath("/peer/v1/once", keepingPath(mRequests.peerHandler()));
         SettingsRoutes.addPeer(peer, mSettings);
         PathHandler operator = new PathHandler(HttpJson.unknownPath());
-        SettingsRoutes.addOperator(operator, mSettings);
         operator.addPrefixPath(EXPLAIN, HttpJson.get(this::explain));
         new OperatorRoutes(
                         mState,
@@ -216,7 +211,6 @@
                 .add(operator);
         SettingsRoutes.addOperator(operator, mSettings);
         registerGauges();
-        mState.settingsListener(mRoster::settingsChanged);
         mRoster.superseded().thenAccept(reason -> mStop.begin("superseded: " + reason, true));
         for (Part part : parts()) {
             mSupervisor.start(part);
@@ -232,7 +226,6 @@
     private List<Part> parts() {
         List<Part> parts = new ArrayList<>();
         parts.add(mRoster);
-        parts.add(mSettings);
         parts.add(mZones);
         parts.add(mSettings);
         parts.add(new HostListDriver(mState, mRoster, mLoop, mPlatform, mMetrics));
@@ -264,6 +257,7 @@
         @Override
         public void noSettings() {
             mState.noSettings();
+            mRoster.settingsChanged();
         }
     }
 
