--- a/daemon/src/main/java/org/redwingladder/daemon/Listener.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Listener.java
@@ -20,6 +20,9 @@
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 100;
 
+    // Handlers have smaller limits of their own, with answers that say so.
+    private static final long MAX_BODY_BYTES = 8L << 20;
+
     // A sender that takes longer for its headers holds a connection for nothing.
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
@@ -69,6 +72,10 @@
                         .setServerOption(
                                 UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
                         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                        .setServerOption(UndertowOptions.MAX_PARAMETERS, MAX_HEADERS)
+                        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
+                        .setServerOption(UndertowOptions.DECODE_URL, false)
+                        .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
                         .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                         .addHttpListener(
                                 address.getPort(),
--- a/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
@@ -20,11 +20,11 @@
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallerLimits;
 import org.redwingladder.http.HttpCaller;
-import org.redwingladder.http.HttpListener;
 import org.redwingladder.http.Json;
 import org.redwingladder.membership.Member;
 import org.redwingladder.membership.Roster;
 import org.redwingladder.platform.PlatformClient;
+import org.redwingladder.request.TestListener;
 import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.standin.PlatformOptions;
@@ -133,7 +133,7 @@
         final SettingsDriver mDriver;
         final SettingsStore mStore;
         private final HttpCaller mCaller;
-        private final HttpListener mListener;
+        private final TestListener mListener;
         private final Member mMember;
         private final String mZone;
         private volatile @Nullable Settings mSettings;
@@ -142,7 +142,7 @@
             mZone = zone;
             mCaller = HttpCaller.create(mWorker, mBuffers, CallerLimits.defaults());
             PathHandler paths = new PathHandler();
-            mListener = HttpListener.open(ANY, mWorker, mBuffers, 8 << 20, paths);
+            mListener = TestListener.open(ANY, mWorker, mBuffers, 8 << 20, paths);
             String address = Addresses.format(mListener.address());
             mMember = new Member(name, incarnation, address, address, Member.State.SERVING);
             PlatformClient platform =
--- a/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
@@ -1,7 +1,7 @@
 package org.redwingladder.control;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.redwingladder.request.Eventually.until;
+import static org.redwingladder.http.Eventually.until;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.LongNode;
--- a/daemon/src/test/java/org/redwingladder/request/TestListener.java
+++ b/daemon/src/test/java/org/redwingladder/request/TestListener.java
@@ -10,7 +10,7 @@
 import org.xnio.XnioWorker;
 
 /** Accepts HTTP connections on one address, with bounds on what a client may send. */
-final class TestListener implements AutoCloseable {
+public final class TestListener implements AutoCloseable {
     /** Holds the headers of any sensible request; Undertow's own limit is a megabyte. */
     private static final int MAX_HEADER_BYTES = 16 * 1024;
 
@@ -35,7 +35,7 @@
      * @param maxBodyBytes the longest request body
      * @throws IOException if the address cannot be bound
      */
-    static TestListener open(
+    public static TestListener open(
             InetSocketAddress address,
             XnioWorker worker,
             ByteBufferPool buffers,
@@ -71,7 +71,7 @@
     }
 
     /** Returns the address that is listened on. */
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) mServer.getListenerInfo().get(0).getAddress();
     }
 
--- a/standin/src/main/java/org/redwingladder/standin/DemoDeployment.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoDeployment.java
@@ -36,8 +36,15 @@
                     new DemoDeployment(
                             name,
                             regions(
-                                    "viti", "suva", "nadi", "vanua", "labasa", "savusavu",
-                                    "taveuni", "somosomo", "waiyevo"),
+                                    "viti",
+                                    "suva",
+                                    "nadi",
+                                    "vanua",
+                                    "labasa",
+                                    "savusavu",
+                                    "taveuni",
+                                    "somosomo",
+                                    "waiyevo"),
                             20,
                             1,
                             List.of(catalogue(), checkout(), proofs()));
@@ -45,8 +52,15 @@
                     new DemoDeployment(
                             name,
                             regions(
-                                    "gandaki", "pokhara", "tansen", "bagmati", "lalitpur",
-                                    "bhaktapur", "koshi", "dhankuta", "ilam"),
+                                    "gandaki",
+                                    "pokhara",
+                                    "tansen",
+                                    "bagmati",
+                                    "lalitpur",
+                                    "bhaktapur",
+                                    "koshi",
+                                    "dhankuta",
+                                    "ilam"),
                             35,
                             1.5,
                             List.of(calendar(), booking(), lessons()));
--- a/standin/src/main/java/org/redwingladder/standin/DemoDocuments.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoDocuments.java
@@ -67,8 +67,7 @@
         }
         ObjectNode teams = node.putObject("teams");
         teams.putObject("deployment").put("keySha256", sha256(teamKey("deployment")));
-        teams().forEach(
-                        team -> teams.putObject(team).put("keySha256", sha256(teamKey(team))));
+        teams().forEach(team -> teams.putObject(team).put("keySha256", sha256(teamKey(team))));
         return node;
     }
 
@@ -140,9 +139,7 @@
         node.put("longSlotsPercent", 66);
         ObjectNode classes = node.putObject("classes");
         if (!service.longPrefix().isEmpty()) {
-            classes.putObject("long")
-                    .put("pathPrefix", service.longPrefix())
-                    .put("class", "long");
+            classes.putObject("long").put("pathPrefix", service.longPrefix()).put("class", "long");
         }
         ObjectNode zones = node.putObject("zones");
         mDeployment.zones().forEach(zone -> zones.putObject(zone).put("weight", 100));
@@ -232,8 +229,7 @@
     private static String sha256(String text) {
         try {
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
-            return HexFormat.of()
-                    .formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
