--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -179,6 +179,11 @@
         return mState;
     }
 
+    /** Returns the client listener's address as {@code ip:port}. */
+    String clientAddress() {
+        return Addresses.format(mClient.address());
+    }
+
     /** Returns the operator listener's address as {@code ip:port}. */
     String operatorAddress() {
         return Addresses.format(mOperator.address());
