--- a/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
@@ -6,6 +6,24 @@
 public final class PolicyBench {
     private PolicyBench() {}
 
+    static PolicyOptions tuned() {
+        String t = System.getenv("TUNE");
+        if (t == null) return PolicyOptions.standard();
+        double[] v =
+                java.util.Arrays.stream(t.split(",")).mapToDouble(Double::parseDouble).toArray();
+        return PolicyOptions.standard()
+                .withTuning(
+                        new org.redwingladder.routing.SiteTuning(
+                                v[0],
+                                v[1],
+                                v[2],
+                                (long) (v[3] * 1e6),
+                                (long) (v[4] * 1e6),
+                                (long) (v[5] * 1e6),
+                                v[6],
+                                v[7]));
+    }
+
     /** Prints the table. */
     public static void main(String[] args) {
         for (PolicyDeployment d :
@@ -41,7 +59,7 @@
                 var of = PolicyStats.sent(WorkClass.SHORT, 5, 30);
                 long t = System.nanoTime();
                 PolicyStats n = run.naive();
-                PolicyStats o = run.ours(PolicyOptions.standard());
+                PolicyStats o = run.ours(tuned());
                 PolicyStats x = run.oracle(1000);
                 System.out.println(o.reasons() + o.tail(0.99, of));
                 System.out.printf(
--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -22,6 +22,9 @@
     /** Until a backend server has seen that a connection was closed, its slot is still taken. */
     private static final long CLOSE_NANOS = 2_000_000L;
 
+    /** A backend server that takes this many times as long as its class's mean counts as slow. */
+    private static final double SLOW = 3;
+
     /** How late a probe's answer may be, in multiples of the class's quantile. */
     private static final double PROBE_PATIENCE = 1.2;
 
@@ -285,10 +288,9 @@
                                 RefusalReason.DEADLINE_EXPIRED,
                                 Outcome.UNKNOWN,
                                 0));
-            } else if (!flight.mHedged && flight.mHedgeAtNanos <= nowNanos) {
-                hedge(flight, out, nowNanos);
             }
         }
+        hedge(out, nowNanos);
         endLateProbes(out, nowNanos);
         ejectOutliers(nowNanos);
     }
@@ -301,8 +303,39 @@
         }
     }
 
+    /**
+     * Hedges what is due at backend servers that have turned slow. These requests come before the
+     * queue: they are older, and unlike others that take long they gain from a second attempt.
+     */
+    void rescue(List<DispatchAction> out, long nowNanos) {
+        for (Flight flight : mFlights.values()) {
+            if (due(flight, nowNanos) && isSlow(flight.mAttempts.get(0).mBackend)) {
+                hedge(flight, out, nowNanos);
+            }
+        }
+    }
+
+    private static boolean isSlow(Backend backend) {
+        return backend.mEjected || backend.slowness() >= SLOW;
+    }
+
+    private void hedge(List<DispatchAction> out, long nowNanos) {
+        for (Flight flight : mFlights.values()) {
+            if (due(flight, nowNanos)) {
+                hedge(flight, out, nowNanos);
+            }
+        }
+    }
+
+    private static boolean due(Flight flight, long nowNanos) {
+        return !flight.mDecided
+                && !flight.mHedged
+                && flight.mHedgeAtNanos <= nowNanos
+                && flight.mAttempts.size() == 1;
+    }
+
     private void hedge(Flight flight, List<DispatchAction> out, long nowNanos) {
-        if (!flight.mRequest.idempotent() || flight.mAttempts.size() != 1) {
+        if (!flight.mRequest.idempotent()) {
             return;
         }
         boolean noRoom =
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -131,6 +131,7 @@
         expireQueued(out, nowNanos);
         int shortDemand = mInFlight.count(WorkClass.SHORT) + mQueue.size(WorkClass.SHORT);
         mSite.mShare.update(shortDemand, nowNanos);
+        mInFlight.rescue(out, nowNanos);
         while (mQueue.size(WorkClass.SHORT) + mQueue.size(WorkClass.LONG) > 0) {
             Backend backend = mSite.mChooser.choose(null, nowNanos);
             if (backend == null) {
--- a/core/src/main/java/org/redwingladder/routing/SiteTuning.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteTuning.java
@@ -25,6 +25,6 @@
 
     /** Returns the numbers that entry hosts use. */
     public static SiteTuning standard() {
-        return new SiteTuning(0.95, 5, 3, 100_000_000L, 400_000_000L, 250_000_000L, 4, 1.5);
+        return new SiteTuning(0.95, 5, 3, 50_000_000L, 200_000_000L, 100_000_000L, 4, 1.5);
     }
 }
