Let requests wait for the new owner during a hand-over

In a closed loop of one client 81 of 593 requests were refused while a site moved in a planned stop: the ingress gave up at the first not-owner answer, and one zone has no other site to try.

SiteOwner now compares its confirmation and its ownership in one question, so that a stopped site sends nothing between the publication of the new epoch and the stop of its dispatcher.

DaemonZoneTest: with the change every request of the loop is answered with 200 through a planned stop; a killed owner is replaced; a zone without the platform goes on. Its heartbeat intervals are a quarter of production's.

--- a/daemon/src/main/java/org/redwingladder/request/ClusterView.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClusterView.java
@@ -56,6 +56,14 @@
      */
     long confirmedUntilNanos();
 
+    /**
+     * Returns until when this host may dispatch for one service; in the past also when its site has
+     * just been stopped, which {@link ClusterListener} tells a moment later.
+     */
+    default long confirmedUntilNanos(String service) {
+        return ownedServices().contains(service) ? confirmedUntilNanos() : System.nanoTime() - 1;
+    }
+
     /** Adds a listener for changes; it must not block. */
     void addListener(ClusterListener listener);
 
--- a/daemon/src/main/java/org/redwingladder/request/Ingress.java
+++ b/daemon/src/main/java/org/redwingladder/request/Ingress.java
@@ -10,6 +10,7 @@
 final class Ingress {
     private final RequestParts mParts;
     private final SiteOwners mOwners;
+    private final HandOvers mHandOvers = new HandOvers();
     private final Map<String, RetryBudget> mBudgets = new ConcurrentHashMap<>();
 
     Ingress(RequestParts parts, SiteOwners owners) {
@@ -36,6 +37,10 @@
         return mOwners;
     }
 
+    HandOvers handOvers() {
+        return mHandOvers;
+    }
+
     RetryDecision decide(InboundRequest request, Refusal refusal, int sitesLeft) {
         RetryBudget budget = budget(request.service().name());
         RetryDecision.Attempted attempted =
--- a/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
+++ b/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
@@ -1,12 +1,14 @@
 package org.redwingladder.request;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Refusal;
 import org.redwingladder.api.RefusalReason;
 import org.redwingladder.http.StreamedAnswer;
 import org.redwingladder.http.WholeAnswer;
 import org.redwingladder.retry.RetryDecision;
+import org.redwingladder.settings.Site;
 
 /** Tries one request at one site after the other until it has its final answer. */
 final class IngressRequest {
@@ -65,6 +67,25 @@
                                 "no site of the service has a known owner"));
     }
 
+    /** Tries the site of a refused candidate again, whose owner has just changed. */
+    private void tryAgain(Candidate refused, Refusal last) {
+        ClusterView.Peer owner =
+                mIngress.parts().view().ownerOf(refused.mZone, mRequest.service().name());
+        if (owner == null) {
+            tryNext(last);
+            return;
+        }
+        Candidate candidate = new Candidate(refused.mZone, owner);
+        synchronized (this) {
+            if (mDone || mCurrent != refused) {
+                return;
+            }
+            mCurrent = candidate;
+        }
+        explain(candidate.name(), "tried again");
+        candidate.start();
+    }
+
     /** An owner is found again after a roster change, which takes a few heartbeats. */
     private static final long RETRY_MILLIS = 1000;
 
@@ -136,6 +157,10 @@
             }
         }
 
+        private Site site() {
+            return new Site(mRequest.service().name(), mZone);
+        }
+
         void cancel() {
             Runnable cancel = mCancel;
             if (cancel != null) {
@@ -146,6 +171,7 @@
         @Override
         public void whole(WholeAnswer answer, String backend) {
             if (finish(this)) {
+                mIngress.handOvers().served(site());
                 explain(name(), "answered by " + backend);
                 mSink.whole(answer, backend);
             }
@@ -154,6 +180,7 @@
         @Override
         public void streamed(StreamedAnswer answer, String backend, Transfer transfer) {
             if (finish(this)) {
+                mIngress.handOvers().served(site());
                 explain(name(), "answered by " + backend);
                 mSink.streamed(answer, backend, transfer);
             } else {
@@ -169,6 +196,19 @@
                 }
             }
             explain(name(), refusal.reason().wireName() + ", " + refusal.outcome().wireName());
+            long now = mIngress.parts().time().nanos();
+            boolean inTime = mRequest.deadlineNanos() - now > 0;
+            if (mIngress.handOvers().shouldWait(site(), refusal, now) && inTime) {
+                mIngress.parts()
+                        .caller()
+                        .worker()
+                        .getIoThread()
+                        .executeAfter(
+                                () -> tryAgain(this, refusal),
+                                HandOvers.STEP_MILLIS,
+                                TimeUnit.MILLISECONDS);
+                return;
+            }
             switch (mIngress.decide(mRequest, refusal, mZones.size() - mNext)) {
                 case RetryDecision.Retry retry -> {
                     mIngress.parts().metrics().retry(refusal.reason());
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -152,7 +152,7 @@
     }
 
     private boolean unconfirmed(long nowNanos) {
-        return mView.confirmedUntilNanos() - nowNanos <= 0;
+        return mView.confirmedUntilNanos(mSpec.config().service()) - nowNanos <= 0;
     }
 
     private Refusal notConfirmed() {
@@ -223,7 +223,7 @@
         }
         request.explanation().add(mTime.millis(), send.backend(), "sent as " + send.kind());
         long now = mTime.nanos();
-        long confirmedUntil = mView.confirmedUntilNanos();
+        long confirmedUntil = mView.confirmedUntilNanos(mSpec.config().service());
         if (confirmedUntil - now <= 0) {
             unsent(attempt);
             return;
--- a/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
@@ -142,7 +142,7 @@
             mZone = zone;
             mCaller = HttpCaller.create(mWorker, mBuffers, CallerLimits.defaults());
             PathHandler paths = new PathHandler();
-            mListener = TestListener.open(ANY, mWorker, mBuffers, 8 << 20, paths);
+            mListener = TestListener.open(ANY, mWorker, mBuffers, paths);
             String address = Addresses.format(mListener.address());
             mMember = new Member(name, incarnation, address, address, Member.State.SERVING);
             PlatformClient platform =
