--- a/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
@@ -17,6 +17,9 @@
     private static final long RATE_WINDOW_MILLIS = 900;
 
     private static final long SLACK_MILLIS = 50;
+    /** Stands for a time that does not come; sums with it do not overflow. */
+    private static final long NEVER = Long.MAX_VALUE / 2;
+
     private static final long DRAIN_MILLIS = 5_000;
     private static final long SPREAD_MILLIS = 15_000;
 
@@ -265,7 +268,7 @@
     private long inForceAt(long version) {
         long last = 0;
         for (String host : mFacts.mLiveHosts) {
-            long first = Long.MAX_VALUE;
+            long first = NEVER;
             for (DemoWatch.Sample sample : mFacts.mSamples.getOrDefault(host, List.of())) {
                 if (sample.version() >= version) {
                     first = Math.min(first, sample.at());
