--- a/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
@@ -17,6 +17,7 @@
     private static final long RATE_WINDOW_MILLIS = 900;
 
     private static final long SLACK_MILLIS = 50;
+
     /** Stands for a time that does not come; sums with it do not overflow. */
     private static final long NEVER = Long.MAX_VALUE / 2;
 
--- a/standin/src/main/java/org/redwingladder/standin/DemoMain.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoMain.java
@@ -28,12 +28,12 @@
 
     private DemoMain() {}
 
-    /** Runs the demo: {@code DemoMain ROOT DEPLOYMENT}. */
+    /** Runs the demo: {@code DemoMain ROOT DEPLOYMENT [--keep-logs]}. */
     public static void main(String[] args) {
         Logger.getLogger("").setLevel(Level.WARNING);
         int code;
         try {
-            code = run(Path.of(args[0]), args[1]);
+            code = run(Path.of(args[0]), args[1], args.length > 2 && args[2].equals("--keep-logs"));
         } catch (DemoException | IOException e) {
             System.out.println("demo: " + e.getMessage());
             code = 1;
@@ -43,7 +43,7 @@
         System.exit(code);
     }
 
-    private static int run(Path root, String deployment)
+    private static int run(Path root, String deployment, boolean keepLogs)
             throws IOException, InterruptedException, DemoException {
         DemoSample sample = DemoSample.read(root.resolve("samples"), deployment);
         Path directory = Files.createTempDirectory("redwingladder-demo-");
@@ -57,7 +57,7 @@
             DemoFacts facts = new Demo(sample, cluster, directory, DemoTimes.DEFAULT).run();
             held = report(sample, facts);
         } finally {
-            if (held) {
+            if (held && !keepLogs) {
                 delete(directory);
             } else {
                 System.out.println("logs of all processes: " + directory);
