--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -294,7 +294,7 @@
 
     @Override
     public void noSettings() {
-        tellListeners();
+        // There is nothing to show, as before.
     }
 
     /** Returns the settings in force, null before the first. */
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -6,15 +6,18 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.redwingladder.control.ClusterState;
 import org.redwingladder.control.ControlLoop;
 import org.redwingladder.control.HostListDriver;
@@ -48,6 +51,7 @@
 /** Wires the parts of one entry host together and owns them. */
 public final class Daemon implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String EXPLAIN = "/v1/explain";
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int POOLED_BUFFERS = 256;
     private static final int BUFFERS_PER_THREAD = 4;
@@ -102,15 +106,11 @@
         mState = ClusterState.create(self, config.zone(), mLoop);
         RosterMachine machine = RosterMachine.create(self, config.zone(), schedule);
         mRoster = RosterDriver.create(machine, mState, mLoop, mCaller, mPlatform, mMetrics);
+        RandomGenerator random =
+                new SplittableRandom(config.incarnation() ^ config.host().hashCode());
         mZones =
                 new ZoneExchange(
-                        mState,
-                        mLoop,
-                        mCaller,
-                        mPlatform,
-                        this::zonesOfSettings,
-                        new SplittableRandom(config.incarnation() ^ config.host().hashCode()),
-                        mMetrics);
+                        mState, mLoop, mCaller, mPlatform, this::zonesOfSettings, random, mMetrics);
         mSettings =
                 SettingsDriver.create(
                         mState,
@@ -195,10 +195,11 @@
     private void run() throws Exception {
         PathHandler peer = new PathHandler(HttpJson.unknownPath());
         PeerRoutes.add(peer, mRoster, mZones);
-        SettingsRoutes.addPeer(peer, mSettings);
         peer.addPrefixPath("/peer/v1/dispatch", keepingPath(mRequests.peerHandler()));
         peer.addPrefixPath("/peer/v1/once", keepingPath(mRequests.peerHandler()));
+        SettingsRoutes.addPeer(peer, mSettings);
         PathHandler operator = new PathHandler(HttpJson.unknownPath());
+        operator.addPrefixPath(EXPLAIN, HttpJson.get(this::explain));
         new OperatorRoutes(
                         mState,
                         mRoster,
@@ -232,6 +233,11 @@
         return parts;
     }
 
+    private Object explain(HttpServerExchange exchange) {
+        String id = exchange.getRequestPath().substring(EXPLAIN.length()).replaceFirst("^/", "");
+        return Map.of("requestId", id, "records", mRequests.explain(id));
+    }
+
     // The path handler strips the prefix from the relative path only; the request URI stays.
     private static HttpHandler keepingPath(HttpHandler handler) {
         return exchange -> {
@@ -251,6 +257,7 @@
         @Override
         public void noSettings() {
             mState.noSettings();
+            mRoster.settingsChanged();
         }
     }
 
