--- a/core/src/main/java/org/redwingladder/settings/SettingsTree.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsTree.java
@@ -99,7 +99,10 @@
 
     /** Returns all errors of the document. */
     public List<SettingsError> validate() {
-        return SettingsValidator.validate(mRoot);
+        SettingsTree previous = mPrevious;
+        return previous == null
+                ? SettingsValidator.validate(mRoot)
+                : SettingsValidator.validate(mRoot, previous.mRoot);
     }
 
     /**
@@ -175,7 +178,7 @@
         ObjectNode root = replace(mRoot, pointer(change.path()), change.value(), change.path());
         SortedMap<String, Long> versions = new TreeMap<>(mSubtreeVersions);
         versions.put(owner, change.version());
-        // Only a tree whose settings are known can share them, and it must not keep its own past.
+        // Only a tree that is known to be valid is shared with, and it must not keep its own past.
         SettingsTree past = mSettings == null ? null : withoutPast();
         return new SettingsTree(change.version(), root, versions, past);
     }
--- a/core/src/main/java/org/redwingladder/settings/SettingsValidator.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsValidator.java
@@ -1,6 +1,7 @@
 package org.redwingladder.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -139,6 +140,30 @@
     public static List<SettingsError> validate(JsonNode document) {
         List<SettingsError> errors = new ArrayList<>();
         DOCUMENT.check(document, "", errors);
+        return checkRules(document, errors);
+    }
+
+    /**
+     * Returns all errors of {@code document}. The shape of subtrees that it shares with {@code
+     * valid}, a valid document, is not checked again; what subtrees must be to each other is.
+     */
+    static List<SettingsError> validate(JsonNode document, JsonNode valid) {
+        List<SettingsError> errors = new ArrayList<>();
+        JsonNode deployment = document.path(Deployment.TEAM);
+        if (deployment != valid.path(Deployment.TEAM)) {
+            DEPLOYMENT.check(deployment, "/" + Deployment.TEAM, errors);
+        }
+        for (Map.Entry<String, JsonNode> team : document.path("teams").properties()) {
+            if (team.getValue() != valid.path("teams").path(team.getKey())) {
+                String path = Shape.below("/teams", team.getKey());
+                NAME.check(TextNode.valueOf(team.getKey()), path, errors);
+                TEAM.check(team.getValue(), path, errors);
+            }
+        }
+        return checkRules(document, errors);
+    }
+
+    private static List<SettingsError> checkRules(JsonNode document, List<SettingsError> errors) {
         DeploymentRules.check(document, errors);
         TeamRules.check(document, errors);
         errors.sort(Comparator.comparing(SettingsError::path));
--- a/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
+++ b/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
@@ -142,6 +142,26 @@
             assertThat(order.history()).containsOnlyKeys(6L, 7L);
         }
 
+        /** Guards against faults that are overlooked because most of the document is known. */
+        @Test
+        void sharingOverlooksNoFault() throws Exception {
+            SettingsTree valid = Documents.tree(1);
+            valid.settings();
+            for (String value : List.of("{\"x\":1}", "{\"services\":{}}", "7")) {
+                Change change =
+                        new Change(
+                                2,
+                                "c",
+                                "store",
+                                "/teams/store",
+                                Documents.parse("{\"v\":" + value + "}").get("v"),
+                                "ana",
+                                0);
+                SettingsTree next = valid.apply(change);
+                assertThat(next.validate()).isEqualTo(SettingsValidator.validate(next.document()));
+            }
+        }
+
         /** Guards against settings that differ from those of the whole document. */
         @Test
         void sharingLeavesTheSettingsAsTheyAre() throws Exception {
--- a/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
@@ -53,6 +53,12 @@
         return host.put(LIFETIME, LongNode.valueOf(millis), subtree, id);
     }
 
+    /** Returns the version that {@code host} knows after it heard of the first host's. */
+    private long versionAfterHeartbeat(SettingsCluster.Host host) {
+        SettingsCluster.heartbeat(mFirst, host);
+        return host.mDriver.tree().join().version();
+    }
+
     private long recordedChanges() {
         return mCluster.mPlatform.table().rows("settings/change/", 0, 1000).size();
     }
@@ -82,9 +88,8 @@
             // Without its ticks the host asks nobody by itself.
             third.mDriver.stop();
             lifetime(mFirst, 1002, 1, "c2");
-            SettingsCluster.heartbeat(mFirst, third);
 
-            until("it has pulled", () -> third.mDriver.tree().join().version() == 2);
+            until("it has pulled", () -> versionAfterHeartbeat(third) == 2);
         }
     }
 
@@ -274,8 +279,7 @@
 
             assertThat(lone.mDriver.answerPush(onlyLast).join().version()).isEqualTo(1);
 
-            SettingsCluster.heartbeat(mFirst, lone);
-            until("it has all changes", () -> lone.mDriver.tree().join().version() == 3);
+            until("it has all changes", () -> versionAfterHeartbeat(lone) == 3);
             assertThat(lone.mDriver.tree().join().valueAt(LIFETIME)).hasToString("1002");
             // The naive mechanism applies the last change to what it has.
             SettingsTree naive =
