Hand over sites with their requests in flight, and stop before acknowledging

A site owner that stopped was told so through a queue, and the acknowledgement of the new epoch could leave before; the new owner counted nothing of what still ran. Now no message of the roster leaves until the stopped sites report that they send nothing more, a release carries the number of requests in flight, and the new owner counts them under its in-flight caps for the service's longest request time. A new owner whose epoch is settled before the release of a live old owner arrives waits for it up to 100 ms, else it would count its whole in-flight cap as used.

An unconfirmed host said that its confirmation ended now, which lies in the future of a caller that read the clock before: a few requests were sent with a Redwing-Start-By that had passed and came back as shed by the backend server. It now names an instant long past.

--- a/core/src/main/java/org/redwingladder/limits/SiteLimits.java
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -85,9 +85,17 @@
 
     /** Counts a former owner's work, the whole of each cap, as running until {@code untilNanos}. */
     public void carryOver(long untilNanos) {
+        carryOver(Integer.MAX_VALUE, untilNanos);
+    }
+
+    /**
+     * Counts a former owner's requests as running until {@code untilNanos}. Which cap each of them
+     * belongs to is not known, so that all count under every cap, up to the whole of it.
+     */
+    public void carryOver(int count, long untilNanos) {
         for (CapState cap : mCaps.values()) {
             if (cap.mCap.inFlight() != SiteCap.UNLIMITED) {
-                cap.mGate.carryOver(cap.mGate.cap(), untilNanos);
+                cap.mGate.carryOver(Math.min(count, cap.mGate.cap()), untilNanos);
             }
         }
     }
--- a/core/src/main/java/org/redwingladder/membership/RosterEffect.java
+++ b/core/src/main/java/org/redwingladder/membership/RosterEffect.java
@@ -50,7 +50,8 @@
     record WriteRow(long version, Roster roster) implements RosterEffect {}
 
     /**
-     * Starts a site. Requests are sent only while the machine is confirmed.
+     * Starts a site, or corrects what was said of the old owner's work when it was started.
+     * Requests are sent only while the machine is confirmed.
      *
      * @param service the service
      * @param epoch the epoch in which the site is owned
--- a/core/src/main/java/org/redwingladder/membership/RosterMachine.java
+++ b/core/src/main/java/org/redwingladder/membership/RosterMachine.java
@@ -101,7 +101,8 @@
             return;
         }
         if (isListed()) {
-            mSites.startAllowed(roster, effects);
+            mSites.startAllowed(
+                    roster, id -> mPeers.hasEpoch(id, roster) && !mPeers.isGone(id), now, effects);
         }
         mSites.sendReleases(roster, now, effects);
         if (now >= mNextHeartbeatAt) {
@@ -247,7 +248,7 @@
             }
             mHighestEpoch = Math.max(mHighestEpoch, release.epoch());
             mPeers.answered(release.sender(), release.epoch(), 0, now);
-            accepted = mSites.released(release, mRoster);
+            accepted = mSites.released(release, mRoster, effects);
         }
         effects.add(new RosterEffect.AnswerRelease(accepted));
     }
--- a/core/src/main/java/org/redwingladder/membership/Sites.java
+++ b/core/src/main/java/org/redwingladder/membership/Sites.java
@@ -8,16 +8,22 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /** Decides which sites one process has started, and which it still has to release. */
 final class Sites {
+    // An old owner that has acknowledged the epoch sends its release at the same time.
+    private static final long RELEASE_WAIT_MILLIS = 100;
+
     // A release is only repeated when its answer is missing; the new owner waits for it.
     private static final long RELEASE_REPEAT_MILLIS = 250;
 
     private final MemberId mSelf;
     private final Set<String> mStarted = new TreeSet<>();
     private final Map<String, Integer> mReceived = new HashMap<>();
+    private final Set<String> mTakenOver = new HashSet<>();
+    private List<Member> mPrevious = List.of();
     private final Set<String> mReleased = new HashSet<>();
     private long mNextReleaseAt;
     private Set<String> mServices = Set.of();
@@ -44,6 +50,8 @@
         }
         mReceived.clear();
         mReleased.clear();
+        mTakenOver.clear();
+        mPrevious = roster.previous();
         mNextReleaseAt = Long.MIN_VALUE;
         boolean consecutive = before != null && before.epoch() + 1 == roster.epoch();
         for (String service : List.copyOf(mStarted)) {
@@ -79,24 +87,37 @@
         mServicesKnown |= roster != null && version >= roster.settingsFloor();
     }
 
-    /** Takes in a release; returns whether the sender need not repeat it. */
-    boolean released(Release release, @Nullable Roster roster) {
+    /**
+     * Takes in a release; returns whether the sender need not repeat it. A site that was started
+     * without one, because the epoch was settled first, is started again with what it reports.
+     */
+    boolean released(Release release, @Nullable Roster roster, List<RosterEffect> effects) {
         if (roster == null || release.epoch() > roster.epoch()) {
             return false;
         }
-        if (release.epoch() == roster.epoch() && !roster.settled()) {
+        if (release.epoch() == roster.epoch()) {
             for (Map.Entry<String, Integer> entry : release.services().entrySet()) {
-                Member old = Ownership.ownerOf(roster.previous(), entry.getKey());
-                if (old != null && old.id().equals(release.sender())) {
-                    mReceived.put(entry.getKey(), entry.getValue());
+                String service = entry.getKey();
+                Member old = Ownership.ownerOf(mPrevious, service);
+                if (old == null || !old.id().equals(release.sender())) {
+                    continue;
+                }
+                mReceived.put(service, entry.getValue());
+                if (mTakenOver.remove(service) && mStarted.contains(service)) {
+                    start(service, roster, new SiteStart.Released(entry.getValue()), effects);
                 }
             }
         }
         return true;
     }
 
-    /** Starts the sites whose earlier owner has certainly stopped. */
-    void startAllowed(Roster roster, List<RosterEffect> effects) {
+    /**
+     * Starts the sites whose earlier owner has certainly stopped.
+     *
+     * @param acknowledged tells whether a process itself has acknowledged the epoch
+     */
+    void startAllowed(
+            Roster roster, Predicate<MemberId> acknowledged, long now, List<RosterEffect> effects) {
         for (String service : mServices) {
             if (mStarted.contains(service) || !owns(roster.members(), service)) {
                 continue;
@@ -106,7 +127,9 @@
             } else if (mReceived.containsKey(service)) {
                 SiteStart from = new SiteStart.Released(mReceived.get(service));
                 start(service, roster, from, effects);
-            } else if (roster.settled() || noOtherOwnerBefore(roster, service)) {
+            } else if (noOtherOwnerBefore(service, roster)
+                    || (roster.settled() && !releaseIsDue(service, acknowledged, now))) {
+                mTakenOver.add(service);
                 start(service, roster, new SiteStart.TakenOver(mStoppedBy), effects);
             }
         }
@@ -158,11 +181,22 @@
         }
     }
 
-    private boolean noOtherOwnerBefore(Roster roster, String service) {
+    private boolean noOtherOwnerBefore(String service, Roster roster) {
+        if (roster.settled()) {
+            return false;
+        }
         Member old = Ownership.ownerOf(roster.previous(), service);
         return old == null || old.id().equals(mSelf);
     }
 
+    private boolean releaseIsDue(String service, Predicate<MemberId> acknowledged, long now) {
+        Member old = Ownership.ownerOf(mPrevious, service);
+        return old != null
+                && !old.id().equals(mSelf)
+                && acknowledged.test(old.id())
+                && now < mStoppedBy + RELEASE_WAIT_MILLIS;
+    }
+
     private boolean owns(List<Member> members, String service) {
         Member owner = Ownership.ownerOf(members, service);
         return owner != null && owner.id().equals(mSelf);
--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -50,6 +50,16 @@
             Map<String, SiteSpec> sites,
             Map<String, Map<String, ClusterView.Peer>> owners) {}
 
+    /**
+     * Counts a former owner's work at a site.
+     *
+     * @param count how many of its requests may run
+     * @param untilNanos until when they may run
+     */
+    record CarriedOver(int count, long untilNanos) {
+        static final CarriedOver NONE = new CarriedOver(0, System.nanoTime());
+    }
+
     private ClusterSnapshot(
             ClusterSnapshot other,
             RosterView view,
@@ -95,9 +105,9 @@
     /**
      * Returns this state with everything computed anew.
      *
-     * @param carriedOver until when a former owner's work counts, by started service
+     * @param carriedOver what counts of a former owner's work, by started service
      */
-    ClusterSnapshot rebuild(ZoneDirectory directory, Map<String, Long> carriedOver) {
+    ClusterSnapshot rebuild(ZoneDirectory directory, Map<String, CarriedOver> carriedOver) {
         Map<String, List<Member>> members = new HashMap<>();
         Map<String, ClusterView.Peer> hosts = new HashMap<>();
         Map<String, Map<String, ClusterView.Peer>> owners = new HashMap<>();
@@ -117,8 +127,16 @@
                 Site site = new Site(service, mZone);
                 if (settings.sites().contains(site)) {
                     CapParts parts = CapParts.of(mVersions, mAcks, site);
-                    long until = carriedOver.getOrDefault(service, System.nanoTime());
-                    sites.put(service, SiteSpec.of(settings, site, parts, mLeaving, until));
+                    CarriedOver work = carriedOver.getOrDefault(service, CarriedOver.NONE);
+                    sites.put(
+                            service,
+                            SiteSpec.of(
+                                    settings,
+                                    site,
+                                    parts,
+                                    mLeaving,
+                                    work.untilNanos(),
+                                    work.count()));
                 }
             }
         }
--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -9,6 +9,8 @@
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -165,7 +167,8 @@
     @Override
     public long confirmedUntilNanos() {
         long until = mSnapshot.view().confirmedUntil();
-        return until == Long.MIN_VALUE ? System.nanoTime() - 1 : mLoop.toNanos(until);
+        // Callers may have read the clock before: an instant of now would be in their future.
+        return mLoop.toNanos(until == Long.MIN_VALUE ? -1 : until);
     }
 
     @Override
@@ -214,12 +217,16 @@
     /**
      * Takes the state of the roster machine, and what it asked for since the last call. When this
      * method returns, sites that were stopped are no longer shown to the request path.
+     *
+     * @return completes when no more requests are sent for the stopped sites, with the number of
+     *     those still in flight by service
      */
-    synchronized void roster(RosterView view, List<RosterEffect> effects) {
+    synchronized CompletableFuture<Map<String, Integer>> roster(
+            RosterView view, List<RosterEffect> effects) {
         for (RosterEffect effect : effects) {
             if (effect instanceof RosterEffect.StartSite start) {
                 mStarts.put(start.service(), start.start());
-                mStartedAtNanos.put(start.service(), System.nanoTime());
+                mStartedAtNanos.putIfAbsent(start.service(), System.nanoTime());
             } else if (effect instanceof RosterEffect.StopSite stop) {
                 mStarts.remove(stop.service());
                 mStartedAtNanos.remove(stop.service());
@@ -233,13 +240,32 @@
             if (before.view().confirmedUntil() != view.confirmedUntil()) {
                 tellListeners();
             }
-            return;
+            return CompletableFuture.completedFuture(Map.of());
         }
         if (view.roster() != null) {
             mDirectory.merge(List.of(ZoneSummary.of(view.roster())));
         }
         mSnapshot = before.withView(view).rebuild(mDirectory, carriedOver(before.settings()));
+        CompletableFuture<Map<String, Integer>> stopped = stopped(effects);
         publishHosts();
+        return stopped;
+    }
+
+    private CompletableFuture<Map<String, Integer>> stopped(List<RosterEffect> effects) {
+        Map<String, Integer> inFlight = new ConcurrentHashMap<>();
+        List<CompletableFuture<?>> pending = new ArrayList<>();
+        for (RosterEffect effect : effects) {
+            if (effect instanceof RosterEffect.StopSite stop) {
+                for (ClusterListener listener : mListeners) {
+                    pending.add(
+                            listener.stopped(stop.service())
+                                    .thenAccept(
+                                            n -> inFlight.merge(stop.service(), n, Integer::sum)));
+                }
+            }
+        }
+        return CompletableFuture.allOf(pending.toArray(CompletableFuture<?>[]::new))
+                .thenApply(done -> inFlight);
     }
 
     private static boolean changesStructure(RosterEffect effect) {
@@ -321,20 +347,30 @@
         return services;
     }
 
-    private Map<String, Long> carriedOver(@Nullable Settings settings) {
-        Map<String, Long> until = new HashMap<>();
+    private Map<String, ClusterSnapshot.CarriedOver> carriedOver(@Nullable Settings settings) {
+        Map<String, ClusterSnapshot.CarriedOver> work = new HashMap<>();
         mStarts.forEach(
                 (service, start) -> {
-                    long startedAt = mStartedAtNanos.getOrDefault(service, System.nanoTime());
                     Service spec = settings == null ? null : settings.services().get(service);
-                    if (start instanceof SiteStart.TakenOver taken && spec != null) {
-                        long longest = TimeUnit.MILLISECONDS.toNanos(spec.maxRequestMillis());
-                        until.put(service, mLoop.toNanos(taken.stoppedBy()) + longest);
-                    } else {
-                        until.put(service, startedAt);
+                    if (spec == null) {
+                        return;
                     }
+                    long longest = TimeUnit.MILLISECONDS.toNanos(spec.maxRequestMillis());
+                    long startedAt = mStartedAtNanos.getOrDefault(service, System.nanoTime());
+                    work.put(
+                            service,
+                            switch (start) {
+                                case SiteStart.Fresh fresh -> ClusterSnapshot.CarriedOver.NONE;
+                                case SiteStart.Released released ->
+                                        new ClusterSnapshot.CarriedOver(
+                                                released.inFlight(), startedAt + longest);
+                                case SiteStart.TakenOver taken ->
+                                        new ClusterSnapshot.CarriedOver(
+                                                Integer.MAX_VALUE,
+                                                mLoop.toNanos(taken.stoppedBy()) + longest);
+                            });
                 });
-        return until;
+        return work;
     }
 
     private void publishHosts() {
--- a/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
+++ b/daemon/src/main/java/org/redwingladder/control/RosterDriver.java
@@ -3,10 +3,14 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.undertow.util.Methods;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
-import java.util.UUID;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallRequest;
@@ -23,11 +27,7 @@
 import org.redwingladder.membership.RosterEffect;
 import org.redwingladder.membership.RosterInput;
 import org.redwingladder.membership.RosterMachine;
-import org.redwingladder.membership.RosterRow;
 import org.redwingladder.platform.PlatformClient;
-import org.redwingladder.platform.Row;
-import org.redwingladder.platform.Transaction;
-import org.redwingladder.platform.TransactionResult;
 import org.redwingladder.supervisor.Part;
 
 /** Connects the roster machine to the control loop, the peers and the platform. */
@@ -37,19 +37,36 @@
     // Short against the shortest heartbeat interval, so that a due message waits little.
     private static final long TICK_MILLIS = 50;
     private static final long HEARTBEAT_DEADLINE_MILLIS = 1000;
-    private static final long PLATFORM_DEADLINE_MILLIS = 3000;
     private static final int MAX_ROSTER_BYTES = 1 << 20;
 
+    // Steps of a site owner do not block; later than this, the driver has a fault.
+    private static final long STOP_DEADLINE_MILLIS = 2000;
+
     private final RosterMachine mMachine;
     private final ClusterState mState;
     private final ControlLoop mLoop;
     private final HttpCaller mCaller;
-    private final PlatformClient mPlatform;
+    private final RosterTable mTable;
     private final MetricRegistry mMetrics;
     private final CompletableFuture<Void> mLeft = new CompletableFuture<>();
     private final CompletableFuture<String> mSuperseded = new CompletableFuture<>();
+    private final Deque<Step> mSteps = new ArrayDeque<>();
+    private final Map<String, Integer> mInFlight = new HashMap<>();
     private Part.Failures mFailures = cause -> {};
     private ControlLoop.@Nullable Periodic mTicks;
+    private boolean mWaiting;
+
+    /**
+     * Holds the effects of one input.
+     *
+     * @param stopped completes when the sites that they stop send nothing more
+     * @param effects the effects
+     * @param answers receives the effects after they were carried out
+     */
+    private record Step(
+            CompletableFuture<Map<String, Integer>> stopped,
+            List<RosterEffect> effects,
+            Consumer<RosterEffect> answers) {}
 
     private RosterDriver(
             RosterMachine machine,
@@ -62,7 +79,7 @@
         mState = state;
         mLoop = loop;
         mCaller = caller;
-        mPlatform = platform;
+        mTable = new RosterTable(platform, state.zone(), metrics);
         mMetrics = metrics;
     }
 
@@ -123,48 +140,47 @@
     /** Answers a heartbeat. */
     CompletableFuture<HeartbeatAnswer> heartbeat(Heartbeat heartbeat) {
         CompletableFuture<HeartbeatAnswer> answer = new CompletableFuture<>();
+        RosterInput input = new RosterInput.HeartbeatReceived(heartbeat);
         mLoop.execute(
                 () -> {
-                    HeartbeatAnswer found = null;
-                    for (RosterEffect effect :
-                            handle(new RosterInput.HeartbeatReceived(heartbeat))) {
-                        if (effect instanceof RosterEffect.AnswerHeartbeat given) {
-                            found = given.answer();
-                        }
-                    }
+                    handle(
+                            input,
+                            effect -> {
+                                if (effect instanceof RosterEffect.AnswerHeartbeat given) {
+                                    answer.complete(given.answer());
+                                }
+                            });
                     mState.peerVersion(
-                            new MemberId(heartbeat.host(), heartbeat.incarnation()),
+                            heartbeat.sender(),
                             heartbeat.peerAddress(),
                             heartbeat.settingsVersion());
-                    answer.complete(found);
                 },
-                cause -> {
-                    answer.completeExceptionally(cause);
-                    mFailures.failed(cause);
-                });
+                cause -> failed(answer, cause));
         return answer;
     }
 
     /** Answers a release with whether it need not be repeated. */
     CompletableFuture<ReleaseAnswer> release(Release release) {
         CompletableFuture<ReleaseAnswer> answer = new CompletableFuture<>();
+        RosterInput input = new RosterInput.ReleaseReceived(release);
         mLoop.execute(
-                () -> {
-                    boolean accepted = false;
-                    for (RosterEffect effect : handle(new RosterInput.ReleaseReceived(release))) {
-                        accepted |=
-                                effect instanceof RosterEffect.AnswerRelease given
-                                        && given.accepted();
-                    }
-                    answer.complete(new ReleaseAnswer(accepted));
-                },
-                cause -> {
-                    answer.completeExceptionally(cause);
-                    mFailures.failed(cause);
-                });
+                () ->
+                        handle(
+                                input,
+                                effect -> {
+                                    if (effect instanceof RosterEffect.AnswerRelease given) {
+                                        answer.complete(new ReleaseAnswer(given.accepted()));
+                                    }
+                                }),
+                cause -> failed(answer, cause));
         return answer;
     }
 
+    private void failed(CompletableFuture<?> answer, Throwable cause) {
+        answer.completeExceptionally(cause);
+        mFailures.failed(cause);
+    }
+
     /**
      * Answers a release.
      *
@@ -172,22 +188,53 @@
      */
     public record ReleaseAnswer(boolean accepted) {}
 
-    private List<RosterEffect> handle(RosterInput input) {
+    private void handle(RosterInput input) {
+        handle(input, effect -> {});
+    }
+
+    private void handle(RosterInput input, Consumer<RosterEffect> answers) {
         List<RosterEffect> effects = mMachine.handle(input, mLoop.nowMillis());
-        // Stopped sites leave the cluster state before any message of these effects is sent.
-        mState.roster(mMachine.view(), effects);
-        for (RosterEffect effect : effects) {
-            carryOut(effect);
+        CompletableFuture<Map<String, Integer>> stopped =
+                mState.roster(mMachine.view(), effects)
+                        .orTimeout(STOP_DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
+        mSteps.add(new Step(stopped, effects, answers));
+        runSteps();
+    }
+
+    // No message leaves while a stopped site may still send: it could acknowledge the new epoch.
+    private void runSteps() {
+        while (!mSteps.isEmpty()) {
+            Step step = mSteps.peek();
+            if (!step.stopped().isDone()) {
+                if (!mWaiting) {
+                    mWaiting = true;
+                    step.stopped()
+                            .whenComplete(
+                                    (inFlight, failure) ->
+                                            mLoop.execute(this::stepCompleted, mFailures));
+                }
+                return;
+            }
+            mSteps.poll();
+            mInFlight.putAll(step.stopped().join());
+            for (RosterEffect effect : step.effects()) {
+                carryOut(effect);
+                step.answers().accept(effect);
+            }
         }
-        return effects;
+    }
+
+    private void stepCompleted() {
+        mWaiting = false;
+        runSteps();
     }
 
     private void carryOut(RosterEffect effect) {
         switch (effect) {
             case RosterEffect.SendHeartbeat send -> send(send);
             case RosterEffect.SendRelease send -> send(send);
-            case RosterEffect.ReadRow read -> read();
-            case RosterEffect.WriteRow write -> write(write);
+            case RosterEffect.ReadRow read -> mTable.read(this::report);
+            case RosterEffect.WriteRow write -> mTable.write(write, this::report);
             case RosterEffect.StartSite start ->
                     LOG.atInfo().log(
                             "roster: starts site %s in epoch %d (%s)",
@@ -241,10 +288,14 @@
     }
 
     private void send(RosterEffect.SendRelease sent) {
+        Map<String, Integer> inFlight = new HashMap<>();
+        for (String service : sent.release().services().keySet()) {
+            inFlight.put(service, mInFlight.getOrDefault(service, 0));
+        }
         LOG.atInfo().log(
-                "roster: releases %s to %s in epoch %d",
-                sent.release().services().keySet(), sent.to().id(), sent.release().epoch());
-        call(sent.to(), "/peer/v1/release", sent.release())
+                "roster: releases %s (requests in flight) to %s in epoch %d",
+                inFlight, sent.to().id(), sent.release().epoch());
+        call(sent.to(), "/peer/v1/release", sent.release().withInFlight(inFlight))
                 .whenComplete(
                         (answer, failure) -> {
                             ReleaseAnswer read = read(answer, ReleaseAnswer.class);
@@ -273,78 +324,4 @@
             return null;
         }
     }
-
-    private void read() {
-        mMetrics.counter("roster.reads").inc();
-        mPlatform
-                .row(Roster.key(mState.zone()), platformDeadline())
-                .whenComplete(
-                        (row, failure) -> {
-                            if (failure != null) {
-                                mMetrics.counter("roster.reads.failed").inc();
-                                report(new RosterInput.ReadFailed());
-                            } else {
-                                report(new RosterInput.RowRead(row.map(this::parse).orElse(null)));
-                            }
-                        });
-    }
-
-    private void write(RosterEffect.WriteRow write) {
-        String key = Roster.key(mState.zone());
-        mMetrics.counter("roster.writes").inc();
-        Transaction transaction =
-                Transaction.of(UUID.randomUUID().toString())
-                        .replace(key, write.version(), Json.mapper().valueToTree(write.roster()));
-        mPlatform
-                .commit(transaction, platformDeadline())
-                .whenComplete(
-                        (result, failure) -> {
-                            if (failure != null) {
-                                LOG.atWarning().atMostEvery(5, TimeUnit.SECONDS).log(
-                                        "roster: the row could not be written: %s",
-                                        failure.getMessage());
-                                report(new RosterInput.WriteLost());
-                            } else {
-                                report(written(result, key, write));
-                            }
-                        });
-    }
-
-    private RosterInput written(TransactionResult result, String key, RosterEffect.WriteRow write) {
-        return switch (result) {
-            case TransactionResult.Committed committed ->
-                    committed.versions().containsKey(key)
-                            ? new RosterInput.WriteDone(
-                                    new RosterRow(committed.versions().get(key), write.roster()))
-                            : new RosterInput.WriteLost();
-            case TransactionResult.Conflict conflict -> {
-                mMetrics.counter("roster.conflicts").inc();
-                RosterRow found = null;
-                for (Row row : conflict.failed()) {
-                    found = row.key().equals(key) ? parse(row) : found;
-                }
-                yield found == null
-                        ? new RosterInput.WriteLost()
-                        : new RosterInput.WriteConflict(found);
-            }
-            case TransactionResult.Unknown unknown -> new RosterInput.WriteLost();
-        };
-    }
-
-    private @Nullable RosterRow parse(Row row) {
-        if (row.value() == null) {
-            return null;
-        }
-        try {
-            Roster roster = Json.mapper().treeToValue(row.value(), Roster.class);
-            return new RosterRow(row.version(), roster);
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
-            // The row belongs to a later release or is damaged; it must not be overwritten.
-            throw new IllegalStateException("unreadable row " + row.key(), e);
-        }
-    }
-
-    private static long platformDeadline() {
-        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PLATFORM_DEADLINE_MILLIS);
-    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/control/RosterTable.java
@@ -0,0 +1,110 @@
+package org.redwingladder.control;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.http.Json;
+import org.redwingladder.membership.Roster;
+import org.redwingladder.membership.RosterEffect;
+import org.redwingladder.membership.RosterInput;
+import org.redwingladder.membership.RosterRow;
+import org.redwingladder.platform.PlatformClient;
+import org.redwingladder.platform.Row;
+import org.redwingladder.platform.Transaction;
+import org.redwingladder.platform.TransactionResult;
+
+/** Reads and writes the roster row of one zone in the platform's table. */
+final class RosterTable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final long PLATFORM_DEADLINE_MILLIS = 3000;
+
+    private final PlatformClient mPlatform;
+    private final String mKey;
+    private final MetricRegistry mMetrics;
+
+    RosterTable(PlatformClient platform, String zone, MetricRegistry metrics) {
+        mPlatform = platform;
+        mKey = Roster.key(zone);
+        mMetrics = metrics;
+    }
+
+    /** Reads the row and reports the result. */
+    void read(Consumer<RosterInput> result) {
+        mMetrics.counter("roster.reads").inc();
+        mPlatform
+                .row(mKey, platformDeadline())
+                .whenComplete(
+                        (row, failure) -> {
+                            if (failure != null) {
+                                mMetrics.counter("roster.reads.failed").inc();
+                                result.accept(new RosterInput.ReadFailed());
+                            } else {
+                                result.accept(
+                                        new RosterInput.RowRead(row.map(this::parse).orElse(null)));
+                            }
+                        });
+    }
+
+    /** Writes the row and reports the result. */
+    void write(RosterEffect.WriteRow write, Consumer<RosterInput> result) {
+        mMetrics.counter("roster.writes").inc();
+        Transaction transaction =
+                Transaction.of(UUID.randomUUID().toString())
+                        .replace(mKey, write.version(), Json.mapper().valueToTree(write.roster()));
+        mPlatform
+                .commit(transaction, platformDeadline())
+                .whenComplete(
+                        (outcome, failure) -> {
+                            if (failure != null) {
+                                LOG.atWarning().atMostEvery(5, TimeUnit.SECONDS).log(
+                                        "roster: the row could not be written: %s",
+                                        failure.getMessage());
+                                result.accept(new RosterInput.WriteLost());
+                            } else {
+                                result.accept(written(outcome, write));
+                            }
+                        });
+    }
+
+    private RosterInput written(TransactionResult result, RosterEffect.WriteRow write) {
+        return switch (result) {
+            case TransactionResult.Committed committed ->
+                    committed.versions().containsKey(mKey)
+                            ? new RosterInput.WriteDone(
+                                    new RosterRow(committed.versions().get(mKey), write.roster()))
+                            : new RosterInput.WriteLost();
+            case TransactionResult.Conflict conflict -> {
+                mMetrics.counter("roster.conflicts").inc();
+                RosterRow found = null;
+                for (Row row : conflict.failed()) {
+                    found = row.key().equals(mKey) ? parse(row) : found;
+                }
+                yield found == null
+                        ? new RosterInput.WriteLost()
+                        : new RosterInput.WriteConflict(found);
+            }
+            case TransactionResult.Unknown unknown -> new RosterInput.WriteLost();
+        };
+    }
+
+    private @Nullable RosterRow parse(Row row) {
+        if (row.value() == null) {
+            return null;
+        }
+        try {
+            Roster roster = Json.mapper().treeToValue(row.value(), Roster.class);
+            return new RosterRow(row.version(), roster);
+        } catch (JsonProcessingException e) {
+            // The row belongs to a later release or is damaged; it must not be overwritten.
+            throw new IllegalStateException("unreadable row " + row.key(), e);
+        }
+    }
+
+    private static long platformDeadline() {
+        return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PLATFORM_DEADLINE_MILLIS);
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -38,6 +38,7 @@
 import org.redwingladder.membership.RosterMachine;
 import org.redwingladder.once.TokenSigner;
 import org.redwingladder.platform.PlatformClient;
+import org.redwingladder.request.Explanation;
 import org.redwingladder.request.RequestPath;
 import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.Settings;
@@ -240,7 +241,15 @@
 
     private Object explain(HttpServerExchange exchange) {
         String id = exchange.getRequestPath().substring(EXPLAIN.length()).replaceFirst("^/", "");
-        return Map.of("requestId", id, "records", mRequests.explain(id));
+        List<Map<String, Object>> records = new ArrayList<>();
+        for (Explanation record : mRequests.explain(id)) {
+            records.add(
+                    Map.of(
+                            "role", record.role(),
+                            "service", record.service(),
+                            "steps", record.steps()));
+        }
+        return Map.of("requestId", id, "records", records);
     }
 
     // The path handler strips the prefix from the relative path only; the request URI stays.
--- a/daemon/src/main/java/org/redwingladder/request/ClusterView.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClusterView.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.LookupAnswer;
 
@@ -61,7 +62,10 @@
      * just been stopped, which {@link ClusterListener} tells a moment later.
      */
     default long confirmedUntilNanos(String service) {
-        return ownedServices().contains(service) ? confirmedUntilNanos() : System.nanoTime() - 1;
+        // An hour ago, because callers may have read the clock well before this call.
+        return ownedServices().contains(service)
+                ? confirmedUntilNanos()
+                : System.nanoTime() - TimeUnit.HOURS.toNanos(1);
     }
 
     /** Adds a listener for changes; it must not block. */
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Refusal;
@@ -66,7 +67,7 @@
                 SiteLimits.create(
                         spec.regionOfZone(), spec.caps(), spec.bitsPerSecondByRegion(), now);
         if (spec.carriedOverUntilNanos() - now > 0) {
-            limits.carryOver(spec.carriedOverUntilNanos());
+            limits.carryOver(spec.carriedOver(), spec.carriedOverUntilNanos());
         }
         mDispatcher = SiteDispatcher.create(spec.config(), limits, parts.random(), now);
     }
@@ -87,19 +88,33 @@
         run(
                 () -> {
                     long now = mTime.nanos();
+                    boolean corrected =
+                            spec.carriedOver() != mSpec.carriedOver()
+                                    || spec.carriedOverUntilNanos()
+                                            != mSpec.carriedOverUntilNanos();
                     mSpec = spec;
                     mDispatcher.limits().change(spec.caps(), spec.bitsPerSecondByRegion(), now);
+                    if (corrected) {
+                        mDispatcher
+                                .limits()
+                                .carryOver(spec.carriedOver(), spec.carriedOverUntilNanos());
+                    }
                     mDispatcher.configure(spec.config(), now);
                     dispatch();
                 });
     }
 
-    /** Refuses what waits and takes nothing more; what is in flight goes on. */
-    void stop() {
+    /**
+     * Refuses what waits and takes nothing more; what is in flight goes on.
+     *
+     * @param inFlight completes with the number of attempts that go on, when nothing more is sent
+     */
+    void stop(CompletableFuture<Integer> inFlight) {
         run(
                 () -> {
                     mStopped = true;
                     carryOut(mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
+                    inFlight.complete(mAttempts.size());
                 });
     }
 
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwners.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwners.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.routing.LoadReport;
@@ -50,13 +51,28 @@
         mOwners.forEach(
                 (service, owner) -> {
                     if (!owned.contains(service)) {
-                        mOwners.remove(service);
-                        mSpecs.remove(service);
-                        owner.stop();
+                        stop(service, new CompletableFuture<>());
                     }
                 });
     }
 
+    @Override
+    public CompletableFuture<Integer> stopped(String service) {
+        CompletableFuture<Integer> inFlight = new CompletableFuture<>();
+        mChanges.execute(() -> stop(service, inFlight));
+        return inFlight;
+    }
+
+    private void stop(String service, CompletableFuture<Integer> inFlight) {
+        SiteOwner owner = mOwners.remove(service);
+        mSpecs.remove(service);
+        if (owner == null) {
+            inFlight.complete(0);
+        } else {
+            owner.stop(inFlight);
+        }
+    }
+
     @Override
     public void loadReported(String service, String backend, LoadReport report) {
         SiteOwner owner = mOwners.get(service);
--- a/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
@@ -27,6 +27,7 @@
  * @param bitsPerSecondByRegion this site's part of the link to each other region
  * @param carriedOverUntilNanos until when a former owner's work counts as running; {@link
  *     System#nanoTime} or earlier if there is none
+ * @param carriedOver how many of a former owner's requests count until then
  */
 public record SiteSpec(
         SiteConfig config,
@@ -34,7 +35,26 @@
         Map<String, String> regionOfZone,
         List<SiteCap> caps,
         Map<String, Long> bitsPerSecondByRegion,
-        long carriedOverUntilNanos) {
+        long carriedOverUntilNanos,
+        int carriedOver) {
+
+    /** Describes a site under whose caps any number of a former owner's requests may run. */
+    public SiteSpec(
+            SiteConfig config,
+            Map<String, InetSocketAddress> addresses,
+            Map<String, String> regionOfZone,
+            List<SiteCap> caps,
+            Map<String, Long> bitsPerSecondByRegion,
+            long carriedOverUntilNanos) {
+        this(
+                config,
+                addresses,
+                regionOfZone,
+                caps,
+                bitsPerSecondByRegion,
+                carriedOverUntilNanos,
+                Integer.MAX_VALUE);
+    }
 
     /** Copies the collections. */
     public SiteSpec {
@@ -52,6 +72,7 @@
      * @param parts the parts of caps and links that the site may use
      * @param leaving the backend servers that the platform's list marks as leaving
      * @param carriedOverUntilNanos until when a former owner's work counts as running
+     * @param carriedOver how many of a former owner's requests count until then
      * @throws IllegalArgumentException if the settings do not name the service
      */
     public static SiteSpec of(
@@ -59,7 +80,8 @@
             Site site,
             CapParts parts,
             Set<String> leaving,
-            long carriedOverUntilNanos) {
+            long carriedOverUntilNanos,
+            int carriedOver) {
         Service service = settings.services().get(site.service());
         if (service == null) {
             throw new IllegalArgumentException("unknown service " + site.service());
@@ -92,7 +114,8 @@
                 .forEach((name, region) -> region.zones().forEach(zone -> regions.put(zone, name)));
         Map<String, Long> bits = new HashMap<>();
         parts.links().forEach(link -> bits.merge(link.to(), link.bitsPerSecond(), Long::sum));
-        return new SiteSpec(config, addresses, regions, caps(parts), bits, carriedOverUntilNanos);
+        return new SiteSpec(
+                config, addresses, regions, caps(parts), bits, carriedOverUntilNanos, carriedOver);
     }
 
     private static List<SiteCap> caps(CapParts parts) {
--- a/daemon/src/test/java/org/redwingladder/daemon/DaemonZoneTest.java
+++ b/daemon/src/test/java/org/redwingladder/daemon/DaemonZoneTest.java
@@ -15,10 +15,10 @@
 
 class DaemonZoneTest {
 
-    /** Sends requests one after the other until it is stopped, and counts the answers by status. */
+    /** Sends requests one after the other until it is stopped, and counts the answers. */
     private static final class Load extends Thread {
         private final AtomicBoolean mStopped = new AtomicBoolean();
-        private final Map<Integer, Integer> mAnswers = new TreeMap<>();
+        private final Map<String, Integer> mAnswers = new TreeMap<>();
         private final TestZone mZone;
         private final Daemon mIngress;
 
@@ -30,25 +30,25 @@
         @Override
         public void run() {
             while (!mStopped.get()) {
-                int status;
+                String answer;
                 try {
-                    status = mZone.request(mIngress);
+                    answer = mZone.request(mIngress);
                 } catch (Exception e) {
-                    status = -1;
+                    answer = String.valueOf(e);
                 }
                 synchronized (mAnswers) {
-                    mAnswers.merge(status, 1, Integer::sum);
+                    mAnswers.merge(answer, 1, Integer::sum);
                 }
             }
         }
 
-        int answers(int status) {
+        int answered() {
             synchronized (mAnswers) {
-                return mAnswers.getOrDefault(status, 0);
+                return mAnswers.getOrDefault(TestZone.ANSWERED, 0);
             }
         }
 
-        Map<Integer, Integer> end() throws InterruptedException {
+        Map<String, Integer> end() throws InterruptedException {
             mStopped.set(true);
             join();
             return mAnswers;
@@ -69,16 +69,16 @@
                 Daemon owner = TestZone.owner(daemons);
                 Load load = new Load(zone, other(daemons, owner));
                 load.start();
-                Eventually.until("requests are answered", () -> load.answers(200) > 100);
+                Eventually.until("requests are answered", () -> load.answered() > 100);
 
                 zone.post(owner, "/v1/drain", "{}");
                 Eventually.until("the owner has stopped", () -> owner.ended().isDone());
                 assertThat(zone.operator(owner, "/ready").statusCode()).isEqualTo(503);
                 owner.close();
 
-                int before = load.answers(200);
-                Eventually.until("another owner serves", () -> load.answers(200) > before + 100);
-                assertThat(load.end()).containsOnlyKeys(200);
+                int before = load.answered();
+                Eventually.until("another owner serves", () -> load.answered() > before + 100);
+                assertThat(load.end()).containsOnlyKeys(TestZone.ANSWERED);
                 assertThat(owner.ended().join()).isTrue();
                 Roster roster = other(daemons, owner).state().roster();
                 assertThat(roster.members()).hasSize(3);
@@ -111,7 +111,7 @@
 
         private boolean answers(TestZone zone, Daemon ingress) {
             try {
-                return zone.request(ingress) == 200;
+                return zone.request(ingress).equals(TestZone.ANSWERED);
             } catch (Exception e) {
                 return false;
             }
@@ -130,7 +130,7 @@
                 load.start();
                 long until = System.nanoTime() + 3_000_000_000L;
                 Eventually.until("confirmations were renewed", () -> System.nanoTime() > until);
-                assertThat(load.end()).containsOnlyKeys(200);
+                assertThat(load.end()).containsOnlyKeys(TestZone.ANSWERED);
             }
         }
     }
--- a/daemon/src/test/java/org/redwingladder/daemon/TestZone.java
+++ b/daemon/src/test/java/org/redwingladder/daemon/TestZone.java
@@ -22,6 +22,7 @@
 /** Runs daemons of one zone in this process, with a platform and one backend server. */
 final class TestZone implements AutoCloseable {
     static final String SERVICE = "checkout";
+    static final String ANSWERED = "200";
 
     // Shorter than in production, so that a takeover takes about five seconds.
     private static final HeartbeatSchedule SCHEDULE = new HeartbeatSchedule(250, 10, 1000, 60);
@@ -83,17 +84,12 @@
         return null;
     }
 
-    /** Sends a request through a daemon; returns the status. */
-    int request(Daemon ingress) throws Exception {
-        return send(HttpRequest.newBuilder(
-                                URI.create(
-                                        "http://"
-                                                + ingress.clientAddress()
-                                                + "/v1/services/"
-                                                + SERVICE
-                                                + "/x"))
-                        .GET())
-                .statusCode();
+    /** Sends a request through a daemon; returns {@code 200} or the error body. */
+    String request(Daemon ingress) throws Exception {
+        URI uri =
+                URI.create("http://" + ingress.clientAddress() + "/v1/services/" + SERVICE + "/x");
+        HttpResponse<String> answer = send(HttpRequest.newBuilder(uri).GET());
+        return answer.statusCode() == 200 ? ANSWERED : answer.body();
     }
 
     /** Reads from the operator listener of a daemon. */
