--- /dev/null
+++ b/core/src/test/java/org/redwingladder/membership/RosterRulesTest.java
@@ -0,0 +1,204 @@
+package org.redwingladder.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RosterRulesTest {
+    private static List<Member> members(int count) {
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String address = "10.0.0." + i + ":7000";
+            members.add(new Member("h" + i, 1, address, address, Member.State.SERVING));
+        }
+        return members;
+    }
+
+    private static Roster roster(int count) {
+        return new Roster("suva", 3, members(count), 3, 0, 1000, List.of(), 0);
+    }
+
+    private static Set<MemberId> subset(List<Member> members, int bits) {
+        Set<MemberId> chosen = new HashSet<>();
+        for (int i = 0; i < members.size(); i++) {
+            if ((bits & (1 << i)) != 0) {
+                chosen.add(members.get(i).id());
+            }
+        }
+        return chosen;
+    }
+
+    @Nested
+    class Quorums {
+        /** Guards against two sets of voters that could confirm two owners at the same time. */
+        @Test
+        void anyTwoShareAVoter() {
+            for (int count = 1; count <= Roster.MAX_VOTERS; count++) {
+                List<Member> voters = members(count);
+                List<Set<MemberId>> quorums = new ArrayList<>();
+                for (int bits = 0; bits < 1 << count; bits++) {
+                    Set<MemberId> chosen = subset(voters, bits);
+                    boolean expected =
+                            2 * chosen.size() > count
+                                    || (2 * chosen.size() == count
+                                            && chosen.contains(voters.get(0).id()));
+                    assertThat(Quorum.isReached(voters, chosen::contains)).isEqualTo(expected);
+                    if (expected) {
+                        quorums.add(chosen);
+                    }
+                }
+                for (Set<MemberId> one : quorums) {
+                    assertThat(quorums).allMatch(other -> other.stream().anyMatch(one::contains));
+                }
+            }
+        }
+
+        /** Guards against a confirmation that counts from a later heartbeat than a quorum backs. */
+        @Test
+        void latestIsTheBestOverAllQuorums() {
+            for (int count = 1; count <= 6; count++) {
+                List<Member> voters = members(count);
+                for (int seed = 0; seed < 50; seed++) {
+                    java.util.SplittableRandom random = new java.util.SplittableRandom(seed);
+                    Map<MemberId, Long> times = new java.util.HashMap<>();
+                    voters.forEach(voter -> times.put(voter.id(), random.nextLong(10)));
+                    long best = Long.MIN_VALUE;
+                    for (int bits = 1; bits < 1 << count; bits++) {
+                        Set<MemberId> chosen = subset(voters, bits);
+                        if (Quorum.isReached(voters, chosen::contains)) {
+                            long oldest = chosen.stream().mapToLong(times::get).min().getAsLong();
+                            best = Math.max(best, oldest);
+                        }
+                    }
+                    assertThat(Quorum.latest(voters, times::get))
+                            .as("%d voters, seed %d", count, seed)
+                            .isEqualTo(best);
+                }
+            }
+        }
+    }
+
+    @Nested
+    class Ownerships {
+        /** Guards against a roster change that moves sites of members that stay. */
+        @Test
+        void aRemovalMovesOnlyTheSitesOfTheRemoved() {
+            List<Member> before = members(9);
+            List<Member> after = new ArrayList<>(before);
+            Member removed = after.remove(4);
+            for (int i = 0; i < 200; i++) {
+                String service = "s" + i;
+                Member owner = Ownership.ownerOf(before, service);
+                if (!owner.equals(removed)) {
+                    assertThat(Ownership.ownerOf(after, service)).isEqualTo(owner);
+                }
+            }
+        }
+
+        /** Guards against a leaving member that is given a site. */
+        @Test
+        void aLeavingMemberOwnsNothing() {
+            List<Member> members = members(2);
+            members.set(0, members.get(0).withState(Member.State.LEAVING));
+            assertThat(Ownership.ownerOf(members, "s")).isEqualTo(members.get(1));
+            members.set(1, members.get(1).withState(Member.State.LEAVING));
+            assertThat(Ownership.ownerOf(members, "s")).isNull();
+        }
+    }
+
+    @Nested
+    class Confirmations {
+        private final Roster mRoster = roster(4);
+        private final Confirmation mConfirmation = Confirmation.of(mRoster);
+
+        private MemberId voter(int number) {
+            return mRoster.members().get(number).id();
+        }
+
+        /** Guards against an acknowledgement that counts from its arrival. */
+        @Test
+        void endsSixIntervalsAfterTheOldestHeartbeatOfTheQuorum() {
+            mConfirmation.acknowledged(voter(1), 3, 100);
+            mConfirmation.acknowledged(voter(2), 3, 200);
+            assertThat(mConfirmation.confirmedAt(201)).isFalse();
+            mConfirmation.acknowledged(voter(3), 3, 300);
+            assertThat(mConfirmation.confirmedUntil()).isEqualTo(6100);
+        }
+
+        /** Guards against votes of another incarnation or of another epoch. */
+        @Test
+        void ignoresOtherProcessesAndEpochs() {
+            mConfirmation.acknowledged(voter(0), 3, 100);
+            mConfirmation.acknowledged(new MemberId("h1", 2), 3, 100);
+            mConfirmation.acknowledged(voter(2), 2, 100);
+            assertThat(mConfirmation.confirmedAt(101)).isFalse();
+        }
+    }
+
+    @Nested
+    class Changes {
+        /** Guards against a change of an epoch whose earlier owners may still act. */
+        @Test
+        void areRefusedWhileTheEpochIsNotSettled() {
+            RosterChange change =
+                    new RosterChange(List.of(), Map.of(), Set.of(new MemberId("h1", 1)));
+            Roster next = change.applyTo(roster(3), 1000);
+            assertThat(next.epoch()).isEqualTo(4);
+            assertThat(next.settled()).isFalse();
+            assertThat(next.previous()).hasSize(3);
+            assertThatThrownBy(() -> change.applyTo(next, 1000))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining("not settled");
+        }
+
+        /** Guards against a restarted host that stands in the roster twice. */
+        @Test
+        void aNewIncarnationReplacesTheOldOne() {
+            Member again = new Member("h1", 2, "10.0.0.1:7", "10.0.0.1:8", Member.State.SERVING);
+            List<Member> members =
+                    new RosterChange(List.of(again), Map.of(), Set.of()).apply(members(3));
+            assertThat(members).extracting(Member::id).endsWith(again.id()).hasSize(3);
+        }
+
+        /** Guards against a row that another process cannot read back as it was written. */
+        @Test
+        void surviveJson() throws Exception {
+            Roster roster =
+                    new RosterChange(List.of(), Map.of(), Set.of(new MemberId("h1", 1)))
+                            .applyTo(roster(3), 1000);
+            ObjectMapper mapper = new ObjectMapper();
+            assertThat(mapper.readValue(mapper.writeValueAsString(roster), Roster.class))
+                    .isEqualTo(roster);
+        }
+    }
+
+    @Nested
+    class Directories {
+        /** Guards against an older summary that replaces a newer one. */
+        @Test
+        void exchangeBringsBothToTheNewest() {
+            ZoneDirectory one = ZoneDirectory.create();
+            ZoneDirectory other = ZoneDirectory.create();
+            ZoneSummary old = ZoneSummary.of(roster(2));
+            ZoneSummary newer = new ZoneSummary("suva", 4, 0, members(3));
+            ZoneSummary nadi = new ZoneSummary("nadi", 1, 1, members(1));
+            one.merge(List.of(old, nadi));
+            other.merge(List.of(newer));
+
+            assertThat(one.merge(other.newerThan(one.digests()))).isTrue();
+            assertThat(other.merge(one.newerThan(other.digests()))).isTrue();
+            assertThat(one.merge(List.of(old))).isFalse();
+
+            assertThat(one.zones()).containsExactly(nadi, newer);
+            assertThat(other.digests()).isEqualTo(one.digests());
+        }
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/daemon/Main.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Main.java
@@ -26,6 +26,10 @@
 
     private Main() {}
 
+    static Main create() {
+        return new Main();
+    }
+
     /** Runs the program. */
     public static void main(String[] arguments) {
         int code = new Main().run(arguments, System.out, System.err);
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/daemon/MainTest.java
@@ -0,0 +1,105 @@
+package org.redwingladder.daemon;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class MainTest {
+    private static final String VALID =
+            """
+            {"host": "suva-1", "zone": "suva",
+             "listen": {"client": "127.0.0.1:0", "peer": "127.0.0.1:0", "operator": "127.0.0.1:0"},
+             "platform": ["127.0.0.1:7300"], "tokenKey": "0123456789abcdef"}
+            """;
+
+    private final ByteArrayOutputStream mErrors = new ByteArrayOutputStream();
+
+    private int run(String... arguments) {
+        return Main.create()
+                .run(
+                        arguments,
+                        new PrintStream(new ByteArrayOutputStream()),
+                        new PrintStream(mErrors, true, UTF_8));
+    }
+
+    @Nested
+    class Configuration {
+        /** Guards against an operator who has to find the faults of a file one by one. */
+        @Test
+        void reportsAllFaultsWithTheirPaths() {
+            String text =
+                    """
+                    {"host": "Suva 1", "zone": "suva", "extra": 1, "incarnation": 0,
+                     "listen": {"client": "localhost:1", "peer": "127.0.0.1:0"},
+                     "platform": ["127.0.0.1:0"], "tokenKey": "short", "limits": {"ioThreads": 0}}
+                    """;
+            ConfigException thrown =
+                    catchThrowableOfType(
+                            ConfigException.class,
+                            () -> ConfigReader.parse(text.getBytes(UTF_8), () -> 1));
+            assertThat(thrown.faults())
+                    .extracting(ConfigException.Fault::path)
+                    .containsExactlyInAnyOrder(
+                            "/extra",
+                            "/host",
+                            "/incarnation",
+                            "/listen/client",
+                            "/listen/operator",
+                            "/platform/0",
+                            "/tokenKey",
+                            "/limits/ioThreads");
+            assertThat(thrown.faults()).allMatch(fault -> !fault.message().isEmpty());
+        }
+
+        /** Guards against a start of a host with the incarnation of an earlier one. */
+        @Test
+        void takesTheIncarnationFromTheClock() throws Exception {
+            DaemonConfig config = ConfigReader.parse(VALID.getBytes(UTF_8), () -> 77);
+            assertThat(config.incarnation()).isEqualTo(77);
+            assertThat(config.limits()).isEqualTo(DaemonConfig.Limits.DEFAULT);
+        }
+    }
+
+    @Nested
+    class ExitCodes {
+        @TempDir private Path mDirectory;
+
+        /** Guards against a check that passes a bad file or refuses a good one. */
+        @Test
+        void tellValidFromInvalid() throws Exception {
+            Path good = Files.writeString(mDirectory.resolve("good.json"), VALID);
+            Path bad = Files.writeString(mDirectory.resolve("bad.json"), "{\"host\": 1}");
+            assertThat(run("--config", good.toString(), "--check")).isZero();
+            assertThat(run("--config", bad.toString(), "--check")).isEqualTo(2);
+            assertThat(mErrors.toString(UTF_8)).contains("/host: ").contains("/listen");
+            assertThat(run("--config", mDirectory.resolve("none").toString())).isEqualTo(2);
+            assertThat(run("--conf")).isEqualTo(2);
+        }
+    }
+
+    @Nested
+    class Logs {
+        /** Guards against log lines that are not JSON or that carry a stack trace. */
+        @Test
+        void areOneObjectALineWithoutStackTrace() throws Exception {
+            LogRecord entry = new LogRecord(Level.WARNING, "roster: \"x\"\nsecond line");
+            entry.setThrown(new IllegalStateException("cause"));
+            String line = new JsonLog().format(entry);
+            assertThat(line).endsWith("\n").doesNotContain("\tat ");
+            assertThat(line.trim()).doesNotContain("\n");
+            var read = org.redwingladder.http.Json.tree(line.getBytes(UTF_8));
+            assertThat(read.path("message").asText()).startsWith("roster: \"x\"");
+            assertThat(read.path("error").asText()).contains("cause");
+        }
+    }
+}
