--- a/core/src/main/java/org/redwingladder/membership/HeartbeatSchedule.java
+++ b/core/src/main/java/org/redwingladder/membership/HeartbeatSchedule.java
@@ -14,8 +14,8 @@
         long memberFloorMillis,
         long memberStepMillis) {
 
-    /** Limits a voter to about ten heartbeats a second at 96 members, 14 owners and 7 voters. */
-    public static final HeartbeatSchedule DEFAULT = new HeartbeatSchedule(1000, 150, 5000, 300);
+    /** Limits a voter to about five heartbeats a second at 96 members, 14 owners and 7 voters. */
+    public static final HeartbeatSchedule DEFAULT = new HeartbeatSchedule(1000, 250, 5000, 600);
 
     /** Counts the heartbeat intervals after which an acknowledgement no longer confirms. */
     public static final int CONFIRMATION_INTERVALS = 6;
--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -180,12 +180,12 @@
     }
 
     /** Returns the client listener's address as {@code ip:port}. */
-    String clientAddress() {
+    public String clientAddress() {
         return Addresses.format(mClient.address());
     }
 
     /** Returns the operator listener's address as {@code ip:port}. */
-    String operatorAddress() {
+    public String operatorAddress() {
         return Addresses.format(mOperator.address());
     }
 
