--- a/bench/src/main/java/org/redwingladder/bench/BenchCluster.java
+++ b/bench/src/main/java/org/redwingladder/bench/BenchCluster.java
@@ -30,9 +30,12 @@
     private static final int BACKEND_SLOTS = 64;
     private static final long CALL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long POLL_MILLIS = 2;
+    private static final BackendConfig.PathClass INSTANT =
+            new BackendConfig.PathClass("/", 0, 0, 256);
 
     final PlatformServer mPlatform = PlatformServer.start();
-    final BackendServer mBackend = BackendServer.start(BackendConfig.of("b1", BACKEND_SLOTS));
+    final BackendServer mBackend =
+            BackendServer.start(BackendConfig.of("b1", BACKEND_SLOTS, List.of(INSTANT)));
     final HttpCaller mCaller = HttpCaller.create(2, CallerLimits.defaults());
     final List<Daemon> mDaemons = new ArrayList<>();
     private long mChanges;
