--- a/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
@@ -6,7 +6,8 @@
 import java.io.IOException;
 import org.jspecify.annotations.Nullable;
 import org.xnio.IoUtils;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Notices that a client has gone while its request is worked on.
@@ -31,12 +32,13 @@
         if (exchange.getConnection() instanceof HttpServerConnection connection
                 && connection.getExtraBytes() == null) {
             watch.mWatching = true;
-            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-            source.setReadListener(channel -> watch.readable(connection, channel));
+            // The channel's own conduit ends with the request's body; the one below it goes on.
+            StreamSourceConduit source = connection.getOriginalSourceConduit();
+            source.setReadReadyHandler(watch.new Handler(connection, source));
             source.resumeReads();
             exchange.addExchangeCompleteListener(
                     (same, next) -> {
-                        watch.stop(source);
+                        watch.stop(connection, source);
                         next.proceed();
                     });
         }
@@ -54,14 +56,16 @@
         step.run();
     }
 
-    private synchronized void stop(ConduitStreamSourceChannel source) {
-        if (mWatching) {
-            mWatching = false;
-            source.suspendReads();
-        }
+    /** Gives the connection's reads back to the server. */
+    private synchronized void stop(HttpServerConnection connection, StreamSourceConduit source) {
+        mWatching = false;
+        source.suspendReads();
+        source.setReadReadyHandler(
+                new ReadReadyHandler.ChannelListenerHandler<>(
+                        connection.getChannel().getSourceChannel()));
     }
 
-    private void readable(HttpServerConnection connection, ConduitStreamSourceChannel source) {
+    private void readable(HttpServerConnection connection, StreamSourceConduit source) {
         synchronized (this) {
             if (!mWatching) {
                 return;
@@ -104,4 +108,28 @@
             step.run();
         }
     }
+
+    /** Receives the readiness of the connection in its I/O thread. */
+    private final class Handler implements ReadReadyHandler {
+        private final HttpServerConnection mConnection;
+        private final StreamSourceConduit mSource;
+
+        Handler(HttpServerConnection connection, StreamSourceConduit source) {
+            mConnection = connection;
+            mSource = source;
+        }
+
+        @Override
+        public void readReady() {
+            readable(mConnection, mSource);
+        }
+
+        @Override
+        public void forceTermination() {
+            IoUtils.safeClose(mConnection);
+        }
+
+        @Override
+        public void terminated() {}
+    }
 }
--- a/daemon/src/main/java/org/redwingladder/request/PeerCall.java
+++ b/daemon/src/main/java/org/redwingladder/request/PeerCall.java
@@ -22,12 +22,10 @@
 
     private final String mPeer;
     private final AnswerSink mSink;
-    private final RequestMetrics mMetrics;
 
-    private PeerCall(String peer, AnswerSink sink, RequestMetrics metrics) {
+    private PeerCall(String peer, AnswerSink sink) {
         mPeer = peer;
         mSink = sink;
-        mMetrics = metrics;
     }
 
     /** Sends a request to a site's owner; the returned step gives it up. */
@@ -70,7 +68,7 @@
         if (inbound.body().length > 0) {
             call.body(inbound.body());
         }
-        Call running = parts.caller().send(call, new PeerCall(peer.host(), sink, parts.metrics()));
+        Call running = parts.caller().send(call, new PeerCall(peer.host(), sink));
         return running::cancel;
     }
 
@@ -106,16 +104,7 @@
     public void streamed(StreamedAnswer answer) {
         HeaderMap headers = answer.headers();
         String backend = headers.getFirst(WireHeaders.BACKEND);
-        StreamedAnswer.TransferHandler handler =
-                new StreamedAnswer.TransferHandler() {
-                    @Override
-                    public void transferred(long bytes) {}
-
-                    @Override
-                    public void failed(CallException cause) {
-                        mMetrics.cutOff();
-                    }
-                };
+        StreamedAnswer.TransferHandler handler = OnceRequests.ignoring();
         if (backend == null) {
             answer.discard(handler);
             mSink.refused(
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/ClientGoneTest.java
@@ -0,0 +1,112 @@
+package org.redwingladder.request;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.Eventually;
+import org.redwingladder.http.RawBackend;
+
+class ClientGoneTest {
+    private final TestDeployment mDeployment = new TestDeployment();
+    private final CountDownLatch mRelease = new CountDownLatch(1);
+    private RawBackend mBackend;
+
+    @BeforeEach
+    void start() throws Exception {
+        mDeployment.mCluster.mSlots = 1;
+        mBackend =
+                mDeployment.zone(
+                        "near",
+                        "e1",
+                        (request, out) -> {
+                            if (request.path().equals("/slow")) {
+                                awaitQuietly();
+                            }
+                            return RawBackend.answer(request, out, 200, request.path());
+                        });
+        mDeployment.host("e2", "near");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mRelease.countDown();
+        mDeployment.close();
+    }
+
+    private void awaitQuietly() {
+        try {
+            mRelease.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Socket send(String host, String path) throws Exception {
+        Socket socket =
+                new Socket(
+                        mDeployment.host(host).clientAddress().getAddress(),
+                        mDeployment.host(host).clientAddress().getPort());
+        String request = "POST /v1/services/shop" + path + " HTTP/1.1\r\nHost: x\r\n";
+        socket.getOutputStream()
+                .write((request + "Content-Length: 1\r\n\r\n1").getBytes(ISO_8859_1));
+        return socket;
+    }
+
+    private long inFlight() {
+        return mDeployment.host("e1").mPath.inFlight() + mDeployment.host("e2").mPath.inFlight();
+    }
+
+    @Nested
+    class Queued {
+        /** Guards against work of a client that has gone which still runs later. */
+        @Test
+        void workLeavesTheQueue() throws Exception {
+            for (String host : new String[] {"e1", "e2"}) {
+                int before = mBackend.journal().size();
+                Socket slow = send(host, "/slow");
+                Eventually.until(
+                        "the slot is taken", () -> mBackend.journal().size() == before + 1);
+                Socket queued = send(host, "/queued");
+                // A request that comes through e2 counts there and at the owner, e1.
+                int known = host.equals("e1") ? 2 : 4;
+                Eventually.until("both requests are known", () -> inFlight() == known);
+
+                queued.close();
+                Eventually.until(
+                        "the gone client is noticed",
+                        () -> mDeployment.host(host).counter("clients.gone") >= 1);
+                slow.close();
+                Eventually.until("nothing is in flight", () -> inFlight() == 0);
+
+                assertThat(mDeployment.get(host, "/next").body()).isEqualTo("/next");
+                assertThat(mBackend.journal().stream().map(RawBackend.Received::path))
+                        .doesNotContain("/queued");
+            }
+        }
+    }
+
+    @Nested
+    class Running {
+        /** Guards against a slot that is held by work nobody waits for. */
+        @Test
+        void workIsCancelledByClosingItsConnection() throws Exception {
+            for (String host : new String[] {"e1", "e2"}) {
+                int before = mBackend.journal().size();
+                Socket slow = send(host, "/slow");
+                Eventually.until("the work runs", () -> mBackend.journal().size() == before + 1);
+
+                slow.close();
+                Eventually.until("nothing is in flight", () -> inFlight() == 0);
+
+                // The only slot is free again, although the backend server has not answered.
+                assertThat(mDeployment.get(host, "/next").body()).isEqualTo("/next");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/ConfirmationTest.java
@@ -0,0 +1,104 @@
+package org.redwingladder.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.RawBackend;
+import org.redwingladder.limits.SiteCap;
+import org.redwingladder.request.TestDeployment.Reply;
+
+class ConfirmationTest {
+    private final TestDeployment mDeployment = new TestDeployment();
+    private RawBackend mBackend;
+
+    @BeforeEach
+    void start() throws Exception {
+        mBackend =
+                mDeployment.zone(
+                        "near",
+                        "e1",
+                        (request, out) -> RawBackend.answer(request, out, 200, "ran"));
+        mDeployment.host("e2", "near");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mDeployment.close();
+    }
+
+    @Nested
+    class Unconfirmed {
+        /** Guards against an owner that dispatches although its zone may have another owner. */
+        @Test
+        void ownersRefuseWithoutSending() throws Exception {
+            mDeployment.host("e1").mView.mConfirmedForNanos = -TimeUnit.SECONDS.toNanos(1);
+            for (String host : new String[] {"e1", "e2"}) {
+                Reply reply = mDeployment.post(host, "/pay", "5");
+
+                assertThat(reply.reason()).isEqualTo("not-confirmed");
+                assertThat(reply.outcome()).isEqualTo("not-run");
+                assertThat(reply.header("Redwing-Not-Run")).isEqualTo("true");
+            }
+            assertThat(mBackend.journal()).isEmpty();
+        }
+
+        /** Guards against work that a backend server starts after the confirmation has lapsed. */
+        @Test
+        void workStatesWhenTheConfirmationEnds() throws Exception {
+            mDeployment.host("e1").mView.mConfirmedForNanos = TimeUnit.SECONDS.toNanos(2);
+            long before = System.currentTimeMillis();
+
+            mDeployment.post("e1", "/pay", "5");
+
+            long after = System.currentTimeMillis();
+            long startBy =
+                    Long.parseLong(mBackend.journal().get(0).headers().get("redwing-start-by"));
+            assertThat(startBy).isBetween(before + 1_990, after + 2_000);
+        }
+    }
+
+    @Nested
+    class Caps {
+        /** Guards against a site that takes more than its part of a cap. */
+        @Test
+        void refuseWithATimeToComeBack() throws Exception {
+            mDeployment.mCluster.mCaps = java.util.List.of(new SiteCap("c", "any", 0, -1));
+            mDeployment.mCluster.changed();
+
+            Reply reply = mDeployment.post("e1", "/pay", "5");
+
+            assertThat(reply.status()).isEqualTo(429);
+            assertThat(reply.reason()).isEqualTo("cap-rate");
+            assertThat(mBackend.journal()).isEmpty();
+            assertThat(mDeployment.host("e1").counter("refusal.cap-rate")).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class Moves {
+        /** Guards against a host that serves a site after it has moved to another. */
+        @Test
+        void aFormerOwnerRefuses() throws Exception {
+            mDeployment.mCluster.mOwnerByZone.put("near", "e2");
+            mDeployment.mCluster.changed();
+
+            assertThat(mDeployment.post("e1", "/pay", "5").body()).isEqualTo("ran");
+            assertThat(mDeployment.host("e1").mPath.explain(requestId()))
+                    .anySatisfy(
+                            explanation ->
+                                    assertThat(explanation.steps())
+                                            .anySatisfy(
+                                                    step ->
+                                                            assertThat(step.candidate())
+                                                                    .contains("e2")));
+        }
+
+        private String requestId() {
+            return mBackend.journal().get(0).id();
+        }
+    }
+}
--- a/http/src/main/java/org/redwingladder/http/AnswerStream.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerStream.java
@@ -106,14 +106,14 @@
                 ByteBuffer buffer = pooled.getBuffer();
                 buffer.clear();
                 int count = mSource.read(buffer);
+                // A read of nothing leaves nothing to write, not the bytes of the last read.
+                buffer.flip();
+                mPending = buffer;
                 if (count == 0) {
                     mSource.resumeReads();
                     return;
                 }
-                buffer.flip();
-                mPending = buffer;
                 if (count < 0) {
-                    buffer.limit(0);
                     sourceEnded();
                     return;
                 }
