Test idempotency keys against the platform stand-in

Five tests: a key used at two hosts one after the other and at once, after a lost answer, with the platform down, and with the answer to the claim lost. A request waits at most 2 s for its claim, so that a platform that is down does not hold it until its deadline.

--- a/daemon/src/main/java/org/redwingladder/request/ClaimRuns.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClaimRuns.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Refusal;
-import org.redwingladder.api.RefusalReason;
 import org.redwingladder.http.Json;
 import org.redwingladder.http.StreamedAnswer;
 import org.redwingladder.http.WholeAnswer;
@@ -28,6 +27,9 @@
 
     private static final long PLATFORM_RETRY_MILLIS = 1000;
 
+    /** A client is told that the platform is down instead of being held until its deadline. */
+    private static final long CLAIM_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /** Lets the outcome be written when the request's deadline has almost passed. */
     private static final long OUTCOME_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -111,7 +113,7 @@
             mPlatform
                     .commit(
                             transaction().replace(key, expectedVersion, json(claim)),
-                            mRequest.deadlineNanos())
+                            claimDeadline())
                     .whenComplete(
                             (result, failure) ->
                                     advance(
@@ -138,7 +140,7 @@
 
         private void read(String key) {
             mPlatform
-                    .row(key, mRequest.deadlineNanos())
+                    .row(key, claimDeadline())
                     .whenComplete(
                             (row, failure) ->
                                     advance(
@@ -153,6 +155,11 @@
                                                                     mParts.time().millis())));
         }
 
+        private long claimDeadline() {
+            long now = mParts.time().nanos();
+            return now + Math.min(mRequest.deadlineNanos() - now, CLAIM_NANOS);
+        }
+
         private List<Effect> platformFailed() {
             return mMachine.platformFailed(mParts.time().millis() + PLATFORM_RETRY_MILLIS);
         }
@@ -215,10 +222,4 @@
             advance(() -> mMachine.refused(refusal));
         }
     }
-
-    /** Tells a platform that does not answer from a conflict. */
-    static Refusal unavailable(long retryAt) {
-        return Refusal.notRun(
-                RefusalReason.PLATFORM_UNAVAILABLE, retryAt, "the platform does not answer");
-    }
 }
--- a/daemon/src/main/java/org/redwingladder/request/OnceRequests.java
+++ b/daemon/src/main/java/org/redwingladder/request/OnceRequests.java
@@ -1,6 +1,5 @@
 package org.redwingladder.request;
 
-import io.undertow.server.HttpServerExchange;
 import org.redwingladder.api.Outcome;
 import org.redwingladder.api.Refusal;
 import org.redwingladder.api.RefusalReason;
@@ -160,11 +159,6 @@
         }
     }
 
-    /** Says on which exchange a forwarded request came. */
-    static boolean carriesToken(HttpServerExchange exchange) {
-        return exchange.getRequestHeaders().contains(WireHeaders.TOKEN);
-    }
-
     /** Notes the outcome of work under a token before it is handed on. */
     private final class LedgerSink implements AnswerSink {
         private final Token mToken;
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/request/ClaimTest.java
@@ -0,0 +1,132 @@
+package org.redwingladder.request;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.Eventually;
+import org.redwingladder.http.RawBackend;
+import org.redwingladder.request.TestDeployment.Reply;
+import org.redwingladder.standin.PlatformFaults;
+import org.redwingladder.standin.PlatformServer;
+
+class ClaimTest {
+    private final TestDeployment mDeployment = new TestDeployment();
+    private final AtomicReference<RawBackend.Behaviour> mWork = new AtomicReference<>();
+    private PlatformServer mPlatform;
+    private RawBackend mBackend;
+
+    @BeforeEach
+    void start() throws Exception {
+        mPlatform = PlatformServer.start();
+        mDeployment.platform(mPlatform.socketAddress());
+        mWork.set((request, out) -> RawBackend.answer(request, out, 201, "paid"));
+        mBackend =
+                mDeployment.zone("near", "e1", (request, out) -> mWork.get().answer(request, out));
+        mDeployment.host("e2", "near");
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mDeployment.close();
+        mPlatform.close();
+    }
+
+    private java.net.http.HttpRequest.Builder pay(String host, String key) {
+        return mDeployment
+                .request(host, "/v1/services/shop/pay")
+                .header("Idempotency-Key", key)
+                .POST(BodyPublishers.ofString("5"));
+    }
+
+    private void awaitOutcome(String key) {
+        Eventually.until(
+                "the outcome is written",
+                () -> {
+                    try {
+                        return mDeployment.send(pay("e1", key)).status() == 201;
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                });
+    }
+
+    @Nested
+    class Keys {
+        /** Guards against a payment that runs again when its key is used at another host. */
+        @Test
+        void runOnceAtAnyHost() throws Exception {
+            Reply first = mDeployment.send(pay("e1", "k1"));
+            awaitOutcome("k1");
+            Reply second = mDeployment.send(pay("e2", "k1"));
+
+            assertThat(first.status()).isEqualTo(201);
+            assertThat(second.status()).isEqualTo(201);
+            assertThat(second.body()).isEqualTo("paid");
+            assertThat(mBackend.journal()).hasSize(1);
+        }
+
+        /** Guards against two runs when both hosts claim the same key at the same time. */
+        @Test
+        void runOnceWhenUsedAtTheSameTime() throws Exception {
+            List<CompletableFuture<HttpResponse<String>>> replies = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                replies.add(mDeployment.sendAsync(pay(i % 2 == 0 ? "e1" : "e2", "k2")));
+            }
+            for (CompletableFuture<HttpResponse<String>> reply : replies) {
+                assertThat(reply.get(30, TimeUnit.SECONDS).statusCode()).isIn(201, 409);
+            }
+            assertThat(mBackend.journal()).hasSize(1);
+        }
+
+        /** Guards against a second run after the answer of the first was lost. */
+        @Test
+        void stayClaimedWhenTheAnswerIsLost() throws Exception {
+            mWork.set((request, out) -> false);
+            Reply lost = mDeployment.send(pay("e1", "k3"));
+            Reply again = mDeployment.send(pay("e2", "k3"));
+
+            assertThat(lost.outcome()).isEqualTo("unknown");
+            assertThat(again.reason()).isEqualTo("claim-exists");
+            assertThat(again.outcome()).isEqualTo("unknown");
+            assertThat(mBackend.journal()).hasSize(1);
+        }
+    }
+
+    @Nested
+    class PlatformFailures {
+        /** Guards against work without a claim. */
+        @Test
+        void nothingRunsWhileThePlatformIsDown() throws Exception {
+            mPlatform.inject(PlatformFaults.NONE.withDown(true));
+            long deadline = System.currentTimeMillis() + 1_000;
+
+            Reply reply =
+                    mDeployment.send(pay("e1", "k4").header("Redwing-Deadline", "" + deadline));
+
+            assertThat(reply.reason()).isEqualTo("platform-unavailable");
+            assertThat(reply.outcome()).isEqualTo("not-run");
+            assertThat(mBackend.journal()).isEmpty();
+        }
+
+        /** Guards against a claim that its own attempt takes for another's after a lost answer. */
+        @Test
+        void aLostAnswerToTheClaimIsReadBack() throws Exception {
+            mPlatform.inject(PlatformFaults.NONE.withLostAnswers(1));
+
+            Reply reply = mDeployment.send(pay("e1", "k5"));
+
+            assertThat(reply.status()).isEqualTo(201);
+            assertThat(mBackend.journal()).hasSize(1);
+        }
+    }
+}
