--- a/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Daemon.java
@@ -6,14 +6,18 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.PathHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.redwingladder.control.ClusterState;
 import org.redwingladder.control.ControlLoop;
 import org.redwingladder.control.HostListDriver;
@@ -22,6 +26,9 @@
 import org.redwingladder.control.OperatorRoutes;
 import org.redwingladder.control.PeerRoutes;
 import org.redwingladder.control.RosterDriver;
+import org.redwingladder.control.SettingsDriver;
+import org.redwingladder.control.SettingsRoutes;
+import org.redwingladder.control.SettingsSink;
 import org.redwingladder.control.ZoneExchange;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallerLimits;
@@ -32,6 +39,7 @@
 import org.redwingladder.once.TokenSigner;
 import org.redwingladder.platform.PlatformClient;
 import org.redwingladder.request.RequestPath;
+import org.redwingladder.settings.Acks;
 import org.redwingladder.settings.Settings;
 import org.redwingladder.supervisor.Part;
 import org.redwingladder.supervisor.Supervisor;
@@ -43,6 +51,7 @@
 /** Wires the parts of one entry host together and owns them. */
 public final class Daemon implements AutoCloseable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String EXPLAIN = "/v1/explain";
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int POOLED_BUFFERS = 256;
     private static final int BUFFERS_PER_THREAD = 4;
@@ -63,6 +72,7 @@
     private final ClusterState mState;
     private final RosterDriver mRoster;
     private final ZoneExchange mZones;
+    private final SettingsDriver mSettings;
     private final RequestPath mRequests;
     private final PlannedStop mStop;
 
@@ -96,14 +106,19 @@
         mState = ClusterState.create(self, config.zone(), mLoop);
         RosterMachine machine = RosterMachine.create(self, config.zone(), schedule);
         mRoster = RosterDriver.create(machine, mState, mLoop, mCaller, mPlatform, mMetrics);
+        RandomGenerator random =
+                new SplittableRandom(config.incarnation() ^ config.host().hashCode());
         mZones =
                 new ZoneExchange(
+                        mState, mLoop, mCaller, mPlatform, this::zonesOfSettings, random, mMetrics);
+        mSettings =
+                SettingsDriver.create(
                         mState,
+                        new SettingsDelivery(),
                         mLoop,
                         mCaller,
                         mPlatform,
-                        this::zonesOfSettings,
-                        new SplittableRandom(config.incarnation() ^ config.host().hashCode()),
+                        new SplittableRandom(config.incarnation() + config.host().hashCode()),
                         mMetrics);
         mRequests =
                 RequestPath.create(
@@ -164,8 +179,13 @@
         return mState;
     }
 
+    /** Returns the client listener's address as {@code ip:port}. */
+    public String clientAddress() {
+        return Addresses.format(mClient.address());
+    }
+
     /** Returns the operator listener's address as {@code ip:port}. */
-    String operatorAddress() {
+    public String operatorAddress() {
         return Addresses.format(mOperator.address());
     }
 
@@ -182,7 +202,9 @@
         PeerRoutes.add(peer, mRoster, mZones);
         peer.addPrefixPath("/peer/v1/dispatch", keepingPath(mRequests.peerHandler()));
         peer.addPrefixPath("/peer/v1/once", keepingPath(mRequests.peerHandler()));
+        SettingsRoutes.addPeer(peer, mSettings);
         PathHandler operator = new PathHandler(HttpJson.unknownPath());
+        operator.addPrefixPath(EXPLAIN, HttpJson.get(this::explain));
         new OperatorRoutes(
                         mState,
                         mRoster,
@@ -192,6 +214,7 @@
                         mStop::status,
                         () -> mStop.begin("an operator asked for it", false))
                 .add(operator);
+        SettingsRoutes.addOperator(operator, mSettings);
         registerGauges();
         mRoster.superseded().thenAccept(reason -> mStop.begin("superseded: " + reason, true));
         for (Part part : parts()) {
@@ -209,11 +232,17 @@
         List<Part> parts = new ArrayList<>();
         parts.add(mRoster);
         parts.add(mZones);
+        parts.add(mSettings);
         parts.add(new HostListDriver(mState, mRoster, mLoop, mPlatform, mMetrics));
         parts.add(new LoadReportDriver(mState, mLoop, mCaller, mMetrics));
         return parts;
     }
 
+    private Object explain(HttpServerExchange exchange) {
+        String id = exchange.getRequestPath().substring(EXPLAIN.length()).replaceFirst("^/", "");
+        return Map.of("requestId", id, "records", mRequests.explain(id));
+    }
+
     // The path handler strips the prefix from the relative path only; the request URI stays.
     private static HttpHandler keepingPath(HttpHandler handler) {
         return exchange -> {
@@ -222,6 +251,21 @@
         };
     }
 
+    /** Hands settings to the cluster state and tells the roster. */
+    private final class SettingsDelivery implements SettingsSink {
+        @Override
+        public void settings(NavigableMap<Long, Settings> versions, Acks acks) {
+            mState.settings(versions, acks);
+            mRoster.settingsChanged();
+        }
+
+        @Override
+        public void noSettings() {
+            mState.noSettings();
+            mRoster.settingsChanged();
+        }
+    }
+
     private Listener listener(String name, InetSocketAddress address, int connections) {
         return new Listener(name, address, connections, mWorker, mBuffers);
     }
--- a/http/src/test/java/org/redwingladder/http/Eventually.java
+++ b/http/src/test/java/org/redwingladder/http/Eventually.java
@@ -12,6 +12,7 @@
 
     private Eventually() {}
 
+    /** Waits until the condition holds, and fails if it does not hold in time. */
     public static void until(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + LIMIT_NANOS;
         while (!condition.getAsBoolean()) {
