Start sites whose part of a link is 0

A site that a settings version adds has the part 0 of each link until every zone serves by that version. Such a link now refuses requests that would use it; requests of the own region are served at once.

--- a/core/src/main/java/org/redwingladder/limits/BitPacer.java
+++ b/core/src/main/java/org/redwingladder/limits/BitPacer.java
@@ -9,6 +9,9 @@
  * {@link RateBucket} is. Instants are nanoseconds of one monotonic clock. Not thread-safe.
  */
 public final class BitPacer {
+    /** The lowest rate that can be paced; a lower one carries nothing. */
+    static final long MIN_BITS_PER_SECOND = 64;
+
     private static final long SECOND = 1_000_000_000L;
     private static final long LARGEST_CHUNK_BYTES = 16 * 1024;
 
@@ -28,11 +31,11 @@
     /**
      * Creates a pacer that has nothing saved up.
      *
-     * @param bitsPerSecond the rate, at least 64
+     * @param bitsPerSecond the rate, at least {@value #MIN_BITS_PER_SECOND}
      * @throws IllegalArgumentException if the rate is too low
      */
     public static BitPacer createEmpty(long bitsPerSecond, long nowNanos) {
-        if (bitsPerSecond < 64) {
+        if (bitsPerSecond < MIN_BITS_PER_SECOND) {
             throw new IllegalArgumentException("rate too low: " + bitsPerSecond);
         }
         return new BitPacer(bitsPerSecond, nowNanos);
--- a/core/src/main/java/org/redwingladder/limits/SiteLimits.java
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -4,9 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.RefusalReason;
 
@@ -25,10 +27,14 @@
     /** How long a client waits for a place in flight, which becomes free at no known time. */
     private static final long IN_FLIGHT_RETRY_NANOS = 100_000_000L;
 
+    /** How long a client waits for a link that is closed, which a settings version opens. */
+    private static final long CLOSED_RETRY_NANOS = 1_000_000_000L;
+
     private final Map<String, String> mRegionOfZone;
     private final Map<String, CapState> mCaps = new LinkedHashMap<>();
     private final Map<String, CapState[]> mCapsByZone = new HashMap<>();
     private final Map<String, BitPacer> mPacersByRegion = new HashMap<>();
+    private final Set<String> mClosedRegions = new HashSet<>();
 
     private SiteLimits(Map<String, String> regionOfZone) {
         mRegionOfZone = Map.copyOf(regionOfZone);
@@ -58,7 +64,8 @@
 
     /**
      * Replaces the caps by those of another settings version. What is in flight stays counted, and
-     * a bucket whose rate changes starts empty.
+     * a bucket whose rate changes starts empty. A link without a rate takes no new requests; that
+     * is the site's part of it while another zone still serves by a version without the service.
      */
     public void change(List<SiteCap> caps, Map<String, Long> bitsPerSecondByRegion, long nowNanos) {
         Map<String, CapState> old = new HashMap<>(mCaps);
@@ -74,8 +81,14 @@
             mCaps.put(cap.name(), state);
         }
         mPacersByRegion.keySet().retainAll(bitsPerSecondByRegion.keySet());
+        mClosedRegions.clear();
         bitsPerSecondByRegion.forEach(
                 (region, bits) -> {
+                    if (bits < BitPacer.MIN_BITS_PER_SECOND) {
+                        // The pacer stays for answers to requests that were admitted before.
+                        mClosedRegions.add(region);
+                        return;
+                    }
                     BitPacer pacer = mPacersByRegion.get(region);
                     if (pacer == null || pacer.bitsPerSecond() != bits) {
                         mPacersByRegion.put(region, BitPacer.createEmpty(bits, nowNanos));
@@ -94,6 +107,11 @@
 
     /** Takes a place for a request from {@code fromZone} under all caps, or under none. */
     public Admission tryAdmit(String fromZone, long nowNanos) {
+        String region = mRegionOfZone.get(fromZone);
+        if (region != null && mClosedRegions.contains(region)) {
+            return new Admission.Refused(
+                    RefusalReason.LINK_FULL, region, nowNanos + CLOSED_RETRY_NANOS);
+        }
         BitPacer pacer = pacerTo(fromZone);
         if (pacer != null && pacer.freeAtNanos() - nowNanos > LINK_BACKLOG_NANOS) {
             return new Admission.Refused(
