Measure the memory of settings without dead objects

The serial collector leaves dead objects behind except in every fourth full collection, which made some sizes look negative.

--- a/bench/src/main/java/org/redwingladder/bench/LookupBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/LookupBench.java
@@ -31,6 +31,7 @@
 public final class LookupBench {
     private static final int BLOCKS = 2_200_000;
     private static final int SITES = 1_100;
+    private static final int[] SIZES = {138, 275, 550, 1_100, 2_200};
     private static final int HOSTS_IN_ZONE = 96;
     private static final long MEASURE_NANOS = 2_000_000_000L;
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -48,6 +49,8 @@
      */
     public static void main(String[] args) throws Exception {
         LookupBench bench = new LookupBench(System.out);
+        // Before anything else, because what later steps keep for a while would count too.
+        bench.heapSlope();
         bench.decisions();
         bench.tableSlopes();
         bench.settingsSlopes();
@@ -247,13 +250,8 @@
 
     private void settingsSlopes() throws SettingsException, IOException {
         mOut.println(
-                "sites | document bytes | change record bytes | apply ms | read and validate ms"
-                        + " | heap bytes");
-        int[] sizes = {138, 275, 550, 1_100, 2_200};
-        // Before anything else, because buffers that Jackson keeps would count too.
-        long[] heaps = Arrays.stream(sizes).mapToLong(LookupBench::heap).toArray();
-        for (int i = 0; i < sizes.length; i++) {
-            int sites = sizes[i];
+                "sites | document bytes | change record bytes | apply ms | read and validate ms");
+        for (int sites : SIZES) {
             SettingsTree tree = new TargetDeployment(BLOCKS, sites).tree();
             int document = MAPPER.writeValueAsBytes(tree.document()).length;
             int record = MAPPER.writeValueAsBytes(cap(2)).length;
@@ -267,31 +265,43 @@
             }
             mOut.printf(
                     Locale.ROOT,
-                    "%,d | %,d | %,d | %.2f | %.2f | %,d%n",
+                    "%,d | %,d | %,d | %.2f | %.2f%n",
                     sites,
                     document,
                     record,
                     apply(tree),
-                    read,
-                    heaps[i]);
+                    read);
+        }
+    }
+
+    private void heapSlope() {
+        mOut.println("sites | heap bytes of the document and its settings");
+        for (int sites : SIZES) {
+            mOut.printf(Locale.ROOT, "%,d | %,d%n", sites, heap(sites));
         }
     }
 
     /** Returns what the document and its settings take in memory, as the collector sees it. */
     private static long heap(int sites) {
-        long before = used();
-        SettingsOrder order = SettingsOrder.create(8);
-        order.accept(new TargetDeployment(BLOCKS, sites).tree());
+        SettingsOrder[] copies = new SettingsOrder[9];
+        long before = 0;
+        for (int i = 0; i < copies.length; i++) {
+            copies[i] = SettingsOrder.create(8);
+            copies[i].accept(new TargetDeployment(BLOCKS, sites).tree());
+            if (i == 0) {
+                before = used();
+            }
+        }
         long after = used();
-        if (order.version() == 0) {
+        if (Arrays.stream(copies).anyMatch(order -> order.version() == 0)) {
             throw new IllegalStateException("the document was refused");
         }
-        return after - before;
+        return (after - before) / (copies.length - 1);
     }
 
     private static long used() {
-        // What the first collection finds to be finalized or cleaned is freed by the next ones.
-        for (int i = 0; i < 3; i++) {
+        // Only every fourth full collection of the serial collector leaves no dead objects behind.
+        for (int i = 0; i < 4; i++) {
             System.gc();
         }
         Runtime runtime = Runtime.getRuntime();
