--- a/tool/src/main/java/org/redwingladder/tool/AttemptResult.java
+++ b/tool/src/main/java/org/redwingladder/tool/AttemptResult.java
@@ -46,8 +46,9 @@
      * Tells that no answer came, or only a part of one, so that the work may have run.
      *
      * @param reason why, as a short name
+     * @param detail what was seen, for people
      */
-    record Lost(String reason) implements AttemptResult {}
+    record Lost(String reason, String detail) implements AttemptResult {}
 
     /**
      * Tells that a complete answer came that does not fit the request: another id or another size.
--- a/tool/src/main/java/org/redwingladder/tool/HttpTransport.java
+++ b/tool/src/main/java/org/redwingladder/tool/HttpTransport.java
@@ -116,7 +116,7 @@
     private static AttemptResult failed(Throwable failure) {
         return failure instanceof NotSentException
                 ? new AttemptResult.NeverSent(reasonOf(failure))
-                : new AttemptResult.Lost(reasonOf(failure));
+                : new AttemptResult.Lost(reasonOf(failure), String.valueOf(failure.getMessage()));
     }
 
     private static String reasonOf(Throwable failure) {
--- a/tool/src/main/java/org/redwingladder/tool/LoadReport.java
+++ b/tool/src/main/java/org/redwingladder/tool/LoadReport.java
@@ -89,6 +89,9 @@
             each.put("endedAt", attempt.endedAt());
             each.put("kind", kind(attempt.result()));
             each.put("reason", attempt.result().reason());
+            if (attempt.result() instanceof AttemptResult.Lost lost) {
+                each.put("detail", lost.detail());
+            }
         }
         return node;
     }
--- a/tool/src/main/java/org/redwingladder/tool/RequestRun.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestRun.java
@@ -155,9 +155,12 @@
     }
 
     private static String text(AttemptResult result) {
-        return result instanceof AttemptResult.Refused refused
-                ? refused.reason() + ": " + refused.refusal().message()
-                : result.reason();
+        return switch (result) {
+            case AttemptResult.Refused refused ->
+                    refused.reason() + ": " + refused.refusal().message();
+            case AttemptResult.Lost lost -> lost.reason() + ": " + lost.detail();
+            default -> result.reason();
+        };
     }
 
     private void end(String message) {
