Take only the state from load reports

Cause: a report of fewer slots took the slots out of use. The reported state still takes a leaving backend server out.

--- a/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
@@ -1,14 +1,24 @@
 package org.redwingladder.bench;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /** Compares the decision logic with naive choices and with an oracle, in virtual time. */
 public final class PolicyBench {
+    private static final int THREADS = 4;
+
     @Option(name = "--seed", usage = "seed of requests and faults")
     private long mSeed = 1;
 
@@ -45,34 +55,53 @@
         bench.run();
     }
 
-    private boolean wanted(String scenario) {
-        return mOnly.isEmpty() || mOnly.equals(scenario);
+    /** Measures one scenario of one deployment. */
+    private interface Scenario {
+        void measure(PolicyTable table, PolicyDeployment deployment) throws IOException;
     }
 
     private void run() throws IOException {
-        PolicyTable table = new PolicyTable();
-        for (PolicyDeployment deployment :
-                List.of(PolicyDeployment.tabua(), PolicyDeployment.guild())) {
-            if (wanted("stragglers")) {
-                stragglers(table, deployment);
-            }
-            if (wanted("head-of-line")) {
-                headOfLine(table, deployment);
-            }
-            if (wanted("burst")) {
-                burst(table, deployment);
-            }
-            if (wanted("region")) {
-                new PolicyRegionLost(table, mSeed).measure(deployment);
-            }
-            if (wanted("cold")) {
-                new PolicyCold(table, mSeed).measure(deployment);
+        Map<String, Scenario> scenarios = new LinkedHashMap<>();
+        scenarios.put("stragglers", this::stragglers);
+        scenarios.put("head-of-line", this::headOfLine);
+        scenarios.put("burst", this::burst);
+        scenarios.put("region", (table, d) -> new PolicyRegionLost(table, mSeed).measure(d));
+        scenarios.put("cold", (table, d) -> new PolicyCold(table, mSeed).measure(d));
+        scenarios.put("reports", this::reports);
+        if (!mOnly.isEmpty()) {
+            scenarios.keySet().retainAll(List.of(mOnly));
+        }
+        System.out.println("name | naive | ours | oracle | ratio");
+        List<String> missed = new ArrayList<>();
+        // Runs share nothing, so that their order in time does not change a figure.
+        try (ExecutorService threads = Executors.newFixedThreadPool(THREADS)) {
+            List<Future<PolicyTable>> tables = new ArrayList<>();
+            for (PolicyDeployment deployment :
+                    List.of(PolicyDeployment.tabua(), PolicyDeployment.guild())) {
+                for (Scenario scenario : scenarios.values()) {
+                    tables.add(threads.submit(() -> measured(scenario, deployment)));
+                }
             }
-            if (wanted("reports")) {
-                reports(table, deployment);
+            for (Future<PolicyTable> table : tables) {
+                table.get().lines().forEach(System.out::println);
+                missed.addAll(table.get().missed());
             }
+        } catch (ExecutionException e) {
+            throw new IOException("a scenario failed", e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted");
         }
-        table.finish();
+        System.out.println();
+        System.out.println("short of the aim: " + (missed.isEmpty() ? "none" : missed.size()));
+        missed.forEach(System.out::println);
+    }
+
+    private static PolicyTable measured(Scenario scenario, PolicyDeployment deployment)
+            throws IOException {
+        PolicyTable table = new PolicyTable();
+        scenario.measure(table, deployment);
+        return table;
     }
 
     private void stragglers(PolicyTable table, PolicyDeployment deployment) throws IOException {
--- a/bench/src/main/java/org/redwingladder/bench/PolicyStragglers.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyStragglers.java
@@ -75,12 +75,11 @@
     private void line(PolicyRun run, String what, PolicyStats full, PolicyStats less) {
         double with = p99(full);
         double without = p99(less);
-        mTable.row(
-                run.label() + " stragglers p99 ms without " + what + " (ours = with)",
-                without,
-                with,
-                Double.NaN,
-                without / with);
+        String name = run.label() + " stragglers without " + what + " (ours = with) ";
+        mTable.row(name + "p99 ms", without, with, Double.NaN, without / with);
+        double rare = full.latencyMillis(0.999, MEASURED);
+        double rareWithout = less.latencyMillis(0.999, MEASURED);
+        mTable.row(name + "p99.9 ms", rareWithout, rare, Double.NaN, rareWithout / rare);
     }
 
     private static void curve(PolicyPlot plot, String name, PolicyStats stats) {
--- a/bench/src/main/java/org/redwingladder/bench/PolicyTable.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyTable.java
@@ -4,17 +4,13 @@
 import java.util.List;
 import java.util.Locale;
 
-/** Prints the lines of the policy bench and remembers which aims were missed. */
+/** Collects the lines of the policy bench and remembers which aims were missed. */
 final class PolicyTable {
     private static final String NONE = "-";
 
     private final List<String> mLines = new ArrayList<>();
     private final List<String> mShort = new ArrayList<>();
 
-    PolicyTable() {
-        print("name | naive | ours | oracle | ratio");
-    }
-
     /** Adds a line without an aim. */
     void row(String name, double naive, double ours, double oracle, double ratio) {
         print(String.join(" | ", name, text(naive), text(ours), text(oracle), text(ratio)));
@@ -40,15 +36,7 @@
         }
     }
 
-    /** Prints the aims that were missed. */
-    void finish() {
-        print("");
-        print("short of the aim: " + (mShort.isEmpty() ? "none" : mShort.size()));
-        mShort.forEach(this::print);
-    }
-
     private void print(String line) {
-        System.out.println(line);
         mLines.add(line);
     }
 
@@ -56,6 +44,11 @@
         return List.copyOf(mLines);
     }
 
+    /** Returns the aims that were missed. */
+    List<String> missed() {
+        return List.copyOf(mShort);
+    }
+
     private static String text(double value) {
         if (Double.isNaN(value)) {
             return NONE;
--- a/core/src/main/java/org/redwingladder/routing/Backend.java
+++ b/core/src/main/java/org/redwingladder/routing/Backend.java
@@ -1,7 +1,5 @@
 package org.redwingladder.routing;
 
-import org.jspecify.annotations.Nullable;
-
 /** Holds what the owner knows of one backend server. */
 final class Backend {
     /** How long a leaving sign in an answer outweighs a load report that may be older than it. */
@@ -41,7 +39,6 @@
     private boolean mStarting;
     private boolean mCold;
     private long mColdSinceNanos;
-    private @Nullable LoadReport mReport;
 
     Backend(BackendSpec spec) {
         mSpec = spec;
@@ -76,9 +73,6 @@
     /** Returns how many attempts may be in flight. */
     int usableSlots(long rampNanos, long nowNanos) {
         int slots = mSpec.slots();
-        if (mReport != null && mReport.slots() > 0) {
-            slots = Math.min(slots, mReport.slots());
-        }
         slots = Math.min(Math.min(slots, mSlotLimit), mSpec.connections());
         if (mCold) {
             long age = nowNanos - mColdSinceNanos;
@@ -146,6 +140,5 @@
             startRamp(nowNanos);
         }
         mStarting = starting;
-        mReport = report;
     }
 }
