Say that a read may have run when an earlier site lost it

The ingress tries a read at another site after a loss. When that site then refused with 'not run', the client was told that the request had not run, although the first attempt may have. The final refusal now takes the outcome unknown if any attempt had it. The test fails without the change and passes with it.

--- a/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
+++ b/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.redwingladder.api.Outcome;
 import org.redwingladder.api.Refusal;
 import org.redwingladder.api.RefusalReason;
 import org.redwingladder.http.StreamedAnswer;
@@ -21,6 +22,7 @@
     private int mNext;
     private @Nullable Candidate mCurrent;
     private boolean mDone;
+    private volatile boolean mMayHaveRun;
 
     IngressRequest(Ingress ingress, InboundRequest request, AnswerSink sink, int hop) {
         mIngress = ingress;
@@ -103,10 +105,16 @@
             explain(
                     mIngress.parts().view().self().host(),
                     "refused: " + refusal.reason().wireName());
-            mSink.refused(refusal);
+            mSink.refused(mMayHaveRun ? withUnknownOutcome(refusal) : refusal);
         }
     }
 
+    /** The last refusal speaks for its own attempt only; an earlier one may have run the work. */
+    private static Refusal withUnknownOutcome(Refusal refusal) {
+        return new Refusal(
+                refusal.reason(), Outcome.UNKNOWN, refusal.retryAtMillis(), refusal.message());
+    }
+
     /** Gives the request up, because its client has gone. */
     void cancel() {
         Candidate current;
@@ -195,6 +203,7 @@
                     return;
                 }
             }
+            mMayHaveRun |= refusal.outcome() == Outcome.UNKNOWN;
             explain(name(), refusal.reason().wireName() + ", " + refusal.outcome().wireName());
             long now = mIngress.parts().time().nanos();
             boolean inTime = mRequest.deadlineNanos() - now > 0;
--- a/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
+++ b/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
@@ -81,6 +81,19 @@
             assertThat(mDeployment.host("e1").counter("retry.backend-lost")).isEqualTo(1);
         }
 
+        /** Guards against a read that ran while the last site's refusal says that it did not. */
+        @Test
+        void refusalsOfReadsThatRanBeforeSaySo() throws Exception {
+            mFar.close();
+
+            Reply reply = mDeployment.get("e1", "/page");
+
+            assertThat(runs(mNear, "/page")).isEqualTo(1);
+            assertThat(reply.status()).isGreaterThanOrEqualTo(500);
+            assertThat(reply.outcome()).isEqualTo("unknown");
+            assertThat(reply.header("Redwing-Not-Run")).isNull();
+        }
+
         /** Guards against a payment that runs twice because its answer was lost. */
         @Test
         void paymentsAreNotRepeated() throws Exception {
