--- a/bench/src/main/java/org/redwingladder/bench/PolicyCold.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyCold.java
@@ -7,8 +7,11 @@
 final class PolicyCold {
     private static final double SECONDS = 45;
     private static final double MOVE_AT = 15;
-    private static final double BEFORE = 0.45;
-    private static final double AFTER = 0.6;
+
+    /** The load as a share of the slots that are there before the move. */
+    private static final double BEFORE = 0.5;
+
+    private static final double AFTER = 0.85;
 
     /** Cold work takes five times as long; a server is warm after some hundred requests. */
     private static final double COLD_FACTOR = 5;
@@ -26,10 +29,11 @@
     }
 
     void measure(PolicyDeployment deployment) {
-        PolicyWorkload load =
-                PolicyWorkload.steady(SECONDS, AFTER, 0)
-                        .withShortLoad(t -> t < MOVE_AT ? BEFORE : AFTER);
         for (PolicyDeployment.Service service : deployment.services()) {
+            double old = 1 - (double) PolicyFaults.COLD_SERVERS / service.servers();
+            PolicyWorkload load =
+                    PolicyWorkload.steady(SECONDS, AFTER * old, 0)
+                            .withShortLoad(t -> (t < MOVE_AT ? BEFORE : AFTER) * old);
             PolicyRun run =
                     new PolicyRun(
                             deployment,
@@ -44,7 +48,7 @@
                             deployment,
                             service,
                             mSeed,
-                            PolicyWorkload.steady(SECONDS, AFTER, 0),
+                            PolicyWorkload.steady(SECONDS, AFTER * old, 0),
                             (world, router) -> {});
             double normal = p99(steady.ours(PolicyOptions.standard()));
             double ours = p99(run.ours(PolicyOptions.standard()));
--- a/bench/src/main/java/org/redwingladder/bench/PolicyFaults.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyFaults.java
@@ -5,8 +5,8 @@
 
 /** Plans what happens to the backend servers and sites of a run. */
 final class PolicyFaults {
-    /** How many backend servers are new when traffic moves to cold ones. */
-    private static final int COLD_SERVERS = 3;
+    /** How many backend servers are new when traffic moves to cold ones: one in each zone. */
+    static final int COLD_SERVERS = 6;
 
     private static final long REPORT_NANOS = 500_000_000L;
 
