--- a/core/src/main/java/org/redwingladder/limits/SiteLimits.java
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -226,10 +226,9 @@
                         RefusalReason.CAP_RATE, mCap.name(), mArrivals.nextNanos());
             }
             if (!mGate.hasRoom(nowNanos)) {
+                long carriedUntil = mGate.carriedUntilNanos(nowNanos);
                 long retryAt =
-                        Math.max(
-                                nowNanos + IN_FLIGHT_RETRY_NANOS,
-                                mGate.carriedUntilNanos(nowNanos));
+                        carriedUntil > nowNanos ? carriedUntil : nowNanos + IN_FLIGHT_RETRY_NANOS;
                 return new Admission.Refused(RefusalReason.CAP_IN_FLIGHT, mCap.name(), retryAt);
             }
             return null;
--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -293,7 +292,7 @@
         }
         hedge(out, nowNanos);
         endLateProbes(out, nowNanos);
-        ejectOutliers(nowNanos);
+        AgeWatch.ejectOutliers(mSite, mAttempts.values(), nowNanos);
     }
 
     private void freeClosed(long nowNanos) {
@@ -379,36 +378,6 @@
         }
     }
 
-    private void ejectOutliers(long nowNanos) {
-        Map<Backend, Ages> ages = new HashMap<>();
-        for (Attempt attempt : mAttempts.values()) {
-            if (!attempt.mStreaming && attempt.mKind != AttemptKind.PROBE) {
-                ages.computeIfAbsent(attempt.mBackend, b -> new Ages())
-                        .add(
-                                nowNanos - attempt.mSentNanos,
-                                mSite.times(attempt.mFlight.mWorkClass));
-            }
-        }
-        for (Backend backend : mSite.mPool.each()) {
-            Ages of = ages.getOrDefault(backend, new Ages());
-            backend.mRelativeAge = of.mCount == 0 ? 0 : of.mRelative / of.mCount;
-            mSite.mDetector.ejectIfOutlier(backend, of.mExcess, nowNanos);
-        }
-    }
-
-    /** Adds up the ages of the attempts in flight at one backend server. */
-    private static final class Ages {
-        private double mExcess;
-        private double mRelative;
-        private int mCount;
-
-        void add(long nanos, TimeDigest times) {
-            mExcess += Math.max(0, OutlierDetector.excess(nanos, times));
-            mRelative += (double) nanos / times.meanNanos();
-            mCount++;
-        }
-    }
-
     /** Returns when the next hedge, freed slot or returning backend server is due. */
     long wakeAtNanos() {
         long at = mClosing.isEmpty() ? Long.MAX_VALUE : mClosing.peekFirst().freeAtNanos();
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/retry/RetryDecisionTest.java
@@ -0,0 +1,104 @@
+package org.redwingladder.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.api.Outcome;
+import org.redwingladder.api.Refusal;
+import org.redwingladder.api.RefusalReason;
+import org.redwingladder.retry.RetryDecision.Attempted;
+import org.redwingladder.retry.RetryDecision.GiveUp;
+import org.redwingladder.retry.RetryDecision.Retry;
+
+class RetryDecisionTest {
+    private static final Refusal FULL = Refusal.notRun(RefusalReason.QUEUE_FULL, 5, "full");
+    private static final Refusal LOST = Refusal.unknown(RefusalReason.PEER_LOST, "lost");
+
+    private static RetryBudget savedUp() {
+        RetryBudget budget = RetryBudget.create();
+        for (int i = 0; i < 100; i++) {
+            budget.request();
+        }
+        return budget;
+    }
+
+    /** Guards against retries that multiply load: every try fails, in any order of events. */
+    @Property(tries = 50, seed = "20261204")
+    void attemptsNeverExceedATenthMoreThanRequests(@ForAll long seed) {
+        Random random = new Random(seed);
+        RetryBudget budget = RetryBudget.create();
+        int requests = 0;
+        int attempts = 0;
+        for (int i = 0; i < 3000; i++) {
+            if (random.nextInt(3) > 0) {
+                requests++;
+                attempts++;
+                budget.request();
+            }
+            for (int sites = random.nextInt(6); sites > 0; sites--) {
+                Attempted attempted = new Attempted(true, false, sites, 100);
+                if (RetryDecision.decide(attempted, FULL, budget, 0) instanceof Retry) {
+                    attempts++;
+                }
+            }
+            assertThat(10L * attempts).isLessThanOrEqualTo(11L * requests);
+        }
+    }
+
+    @Nested
+    class MayRepeat {
+        private RetryDecision decide(boolean idempotent, boolean begun, Refusal refusal) {
+            Attempted attempted = new Attempted(idempotent, begun, 2, 100);
+            return RetryDecision.decide(attempted, refusal, savedUp(), 0);
+        }
+
+        /** Guards against a payment that is repeated although it may have run. */
+        @Test
+        void repeatsLostWorkOnlyIfItIsIdempotent() {
+            assertThat(decide(true, false, LOST)).isInstanceOf(Retry.class);
+            assertThat(decide(false, false, LOST)).isEqualTo(new GiveUp(LOST));
+            assertThat(decide(false, false, FULL)).isInstanceOf(Retry.class);
+        }
+
+        /** Guards against a second answer after bytes of the first one. */
+        @Test
+        void neverRepeatsAfterAnAnswerHasBegun() {
+            assertThat(decide(true, true, LOST)).isEqualTo(new GiveUp(LOST));
+        }
+    }
+
+    @Nested
+    class Refused {
+        /** Guards against a budget refusal that claims certainty about work that was lost. */
+        @Test
+        void keepsTheOutcomeWhenTheBudgetIsSpent() {
+            Attempted attempted = new Attempted(true, false, 2, 100);
+
+            RetryDecision decision = RetryDecision.decide(attempted, LOST, RetryBudget.create(), 0);
+
+            assertThat(decision)
+                    .isInstanceOfSatisfying(
+                            GiveUp.class,
+                            g -> {
+                                assertThat(g.answer().reason())
+                                        .isEqualTo(RefusalReason.RETRY_BUDGET);
+                                assertThat(g.answer().outcome()).isEqualTo(Outcome.UNKNOWN);
+                            });
+        }
+
+        /** Guards against tokens that are spent on requests that cannot be tried again. */
+        @Test
+        void spendsNothingWithoutASiteOrTime() {
+            RetryBudget budget = savedUp();
+
+            RetryDecision.decide(new Attempted(true, false, 0, 100), FULL, budget, 0);
+            RetryDecision.decide(new Attempted(true, false, 2, 100), FULL, budget, 100);
+
+            assertThat(budget.tokens()).isEqualTo(10);
+        }
+    }
+}
