--- a/bench/src/main/java/org/redwingladder/bench/PolicyHeadOfLine.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyHeadOfLine.java
@@ -90,6 +90,8 @@
         PolicyRun run = run(deployment, service, LONG_LOAD);
         double with = wait(run.ours(PolicyOptions.standard()));
         line(run, "class reservation", with, wait(run.ours(withoutReservation())));
+        PolicyOptions patient = PolicyOptions.standard().withoutPatience();
+        line(run, "patience of the ingress", with, wait(run.ours(patient)));
         line(run, "adaptive reserve (66% only)", with, wait(run.ours(fixedReservation())));
     }
 
--- a/bench/src/main/java/org/redwingladder/bench/PolicySite.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicySite.java
@@ -60,7 +60,7 @@
                         0);
     }
 
-    void offer(PolicyRequest request, SiteRequest offered, Reply reply) {
+    void offer(PolicyRequest request, SiteRequest offered, long patienceNanos, Reply reply) {
         if (mLost) {
             long until = mWorld.now() + LOST_NANOS;
             reply.ended(
@@ -72,8 +72,11 @@
         long back =
                 mWorld.mDeployment.delayNanos(request.mZone, mZone) + PolicyDeployment.CLIENT_NANOS;
         mWaiting.put(request.mId, new Waiting(request, reply, back));
-        request.mArrivedNanos = mWorld.now();
-        carryOut(mDispatcher.offer(offered, mWorld.now()));
+        if (request.mArrivedNanos < 0) {
+            // What a request loses on its way to a second site counts as wait too.
+            request.mArrivedNanos = mWorld.now();
+        }
+        carryOut(mDispatcher.offer(offered, patienceNanos, mWorld.now()));
         pump();
     }
 
--- a/bench/src/main/java/org/redwingladder/bench/PolicyStragglers.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyStragglers.java
@@ -57,8 +57,10 @@
         curve(plot, "ours", full);
         without(run, "ejection", full, withoutEjection(), plot);
         without(run, "hedging", full, withoutHedging(), plot);
-        without(run, "sites' waits told", full, withoutLoads(), plot);
+        without(run, "waits told by sites", full, withoutLoads(), plot);
         without(run, "short bound of waits", full, withoutWaitBound(), plot);
+        PolicyOptions patient = PolicyOptions.standard().withoutPatience();
+        without(run, "patience of the ingress", full, patient, plot);
         PolicyStats hosts = run.with(PolicyHosts::new);
         line(run, "owner (each host by itself, two choices)", full, hosts);
         curve(plot, "two choices by hosts", hosts);
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -66,6 +66,16 @@
 
     /** Takes a request into the queue, or refuses it at once. */
     public List<DispatchAction> offer(SiteRequest request, long nowNanos) {
+        return offer(request, Long.MAX_VALUE, nowNanos);
+    }
+
+    /**
+     * Takes a request into the queue, or refuses it at once.
+     *
+     * @param patienceNanos how long the request may be expected to wait before the ingress would
+     *     rather send it to another site
+     */
+    public List<DispatchAction> offer(SiteRequest request, long patienceNanos, long nowNanos) {
         if (request.deadlineNanos() <= nowNanos) {
             return List.of(notRun(request, RefusalReason.DEADLINE_EXPIRED, 0));
         }
@@ -82,6 +92,7 @@
                         Math.max(
                                 mSite.mTuning.maxWaitNanos(),
                                 (long) (mSite.mTuning.maxWaitTimes() * mean)));
+        bound = Math.min(bound, patienceNanos);
         if (wait > 0 && wait > bound) {
             long retryAt = nowNanos + Math.max(mean, wait - Math.max(0, bound));
             return List.of(notRun(request, RefusalReason.QUEUE_FULL, retryAt));
--- a/core/src/main/java/org/redwingladder/routing/SiteLoads.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteLoads.java
@@ -23,6 +23,9 @@
      */
     private static final double DISTANCE_WEIGHT = 0.5;
 
+    /** A shorter wait is not worth the token of the retry budget that a refusal costs. */
+    private static final long LEAST_PATIENCE_NANOS = 2_000_000L;
+
     private static final long NOT_ASKED = Long.MIN_VALUE;
 
     /** After this time an answer that was waited for is taken as lost. */
@@ -84,6 +87,16 @@
         return load.waitNanos() * Math.exp(-(nowNanos - load.atNanos()) / mMemoryNanos);
     }
 
+    /**
+     * Returns how long a request should wait at the first of two sites before the second is better.
+     */
+    public long patienceNanos(Site first, Site second, long nowNanos) {
+        double further =
+                DISTANCE_WEIGHT * (second.roundTripNanos() - first.roundTripNanos())
+                        + waitNanos(second.name(), nowNanos);
+        return Math.max(LEAST_PATIENCE_NANOS, (long) further);
+    }
+
     /** Returns the sites in the order in which to try them; equal ones keep their order. */
     public List<Site> order(List<Site> sites, long nowNanos) {
         List<Site> order = new ArrayList<>(sites);
