Test the choice of sites and the patience of a request

Guards against requests that rush to a site before it has answered, and against short work that waits where its ingress knows a better site.

--- a/core/src/test/java/org/redwingladder/routing/SiteDispatcherTest.java
+++ b/core/src/test/java/org/redwingladder/routing/SiteDispatcherTest.java
@@ -117,6 +117,21 @@
                             });
         }
 
+        /** Guards against short work that waits although its ingress knows a better site. */
+        @Test
+        void refusesWhatWouldWaitLongerThanItsPatience() {
+            SiteDispatcher dispatcher = dispatcher(1, 1);
+            long now = warm(dispatcher, 200);
+            dispatcher.offer(request(1, WorkClass.SHORT, now + SECOND), now);
+            dispatcher.next(now);
+            SiteRequest second = request(2, WorkClass.SHORT, now + SECOND);
+
+            assertThat(refusals(dispatcher.offer(second, 5 * MILLI, now)))
+                    .extracting(Refuse::outcome)
+                    .containsExactly(Outcome.NOT_RUN);
+            assertThat(refusals(dispatcher.offer(second, 50 * MILLI, now))).isEmpty();
+        }
+
         /** Guards against work that is sent although its client has stopped waiting. */
         @Test
         void dropsExpiredAndCancelledWork() {
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/routing/SiteLoadsTest.java
@@ -0,0 +1,75 @@
+package org.redwingladder.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.routing.SiteLoads.Site;
+
+class SiteLoadsTest {
+    private static final long MILLI = 1_000_000L;
+    private static final Site NEAR = new Site("near", 2 * MILLI);
+    private static final Site FAR = new Site("far", 42 * MILLI);
+    private static final List<Site> SITES = List.of(FAR, NEAR);
+
+    private final SiteLoads mLoads = SiteLoads.create();
+
+    private Site first(long nowNanos) {
+        return mLoads.order(SITES, nowNanos).get(0);
+    }
+
+    @Nested
+    class Order {
+        /** Guards against requests that travel although the near site has room. */
+        @Test
+        void prefersTheNearSite() {
+            mLoads.noted("near", 10 * MILLI, 0);
+
+            assertThat(first(0)).isEqualTo(NEAR);
+        }
+
+        /** Guards against a crowded site that goes on receiving until it refuses. */
+        @Test
+        void leavesACrowdedSiteAndComesBack() {
+            mLoads.noted("near", 100 * MILLI, 0);
+
+            assertThat(first(0)).isEqualTo(FAR);
+            assertThat(first(2_000 * MILLI)).isEqualTo(NEAR);
+        }
+    }
+
+    @Nested
+    class Asking {
+        /** Guards against a rush to a site whose wait was forgotten before it has answered. */
+        @Test
+        void asksWithOneRequest() {
+            mLoads.noted("near", 100 * MILLI, 0);
+            mLoads.sent("near", 900 * MILLI);
+
+            assertThat(first(950 * MILLI)).isEqualTo(FAR);
+            mLoads.noted("near", 0, 960 * MILLI);
+            assertThat(first(960 * MILLI)).isEqualTo(NEAR);
+        }
+
+        /** Guards against a lost answer after which a site is never tried again. */
+        @Test
+        void givesUpWaitingForAnAnswer() {
+            mLoads.noted("near", 100 * MILLI, 0);
+            mLoads.sent("near", 900 * MILLI);
+
+            assertThat(first(3_000 * MILLI)).isEqualTo(NEAR);
+        }
+    }
+
+    @Nested
+    class Patience {
+        /** Guards against requests that go on to a site that is further than the wait is long. */
+        @Test
+        void isTheDifferenceToTheNextSite() {
+            mLoads.noted("far", 5 * MILLI, 0);
+
+            assertThat(mLoads.patienceNanos(NEAR, FAR, 0)).isEqualTo(25 * MILLI);
+        }
+    }
+}
