Tell requests given up at their deadline from cut-off ones

In one run of the demo a request forwarded by another entry host ended with peer-lost because its deadline had passed, and the check of the planned stop called it cut off. Records state the deadline and what a refusal said.

--- a/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
+++ b/standin/src/main/java/org/redwingladder/standin/DemoChecks.java
@@ -21,6 +21,9 @@
     /** Stands for a time that does not come; sums with it do not overflow. */
     private static final long NEVER = Long.MAX_VALUE / 2;
 
+    /** How long before its deadline a late request may be given up by an entry host. */
+    private static final long LATE_MILLIS = 100;
+
     private static final long DRAIN_MILLIS = 5_000;
     private static final long SPREAD_MILLIS = 15_000;
 
@@ -227,7 +230,9 @@
                 String kind = attempt.path("kind").asText();
                 String reason = attempt.path("reason").asText();
                 boolean cutOff = here && reason.equals("lost-cut-off");
-                boolean peerLost = kind.equals("unknown") && reason.equals("peer-lost");
+                // A request that the entry host gives up at its deadline is late, not cut off.
+                boolean late = ended >= record.path("deadlineAt").asLong() - LATE_MILLIS;
+                boolean peerLost = kind.equals("unknown") && reason.equals("peer-lost") && !late;
                 served += during && here && kind.equals("whole") ? 1 : 0;
                 if (during && (cutOff || peerLost)) {
                     broken.add(attempt.path("requestId").asText() + " was cut off");
--- a/tool/src/main/java/org/redwingladder/tool/LoadReport.java
+++ b/tool/src/main/java/org/redwingladder/tool/LoadReport.java
@@ -78,6 +78,7 @@
         node.put("method", stream.method());
         node.put("once", stream.once());
         node.put("scheduledAt", scheduledAt);
+        node.put("deadlineAt", result.work().deadlineMillis());
         node.put("end", result.end().name().toLowerCase(Locale.ROOT));
         node.put("message", result.message());
         var attempts = node.putArray("attempts");
@@ -89,8 +90,13 @@
             each.put("endedAt", attempt.endedAt());
             each.put("kind", kind(attempt.result()));
             each.put("reason", attempt.result().reason());
-            if (attempt.result() instanceof AttemptResult.Lost lost) {
-                each.put("detail", lost.detail());
+            switch (attempt.result()) {
+                case AttemptResult.Lost lost -> each.put("detail", lost.detail());
+                case AttemptResult.Refused refused ->
+                        each.put("detail", refused.refusal().message());
+                default -> {
+                    // The reason says all.
+                }
             }
         }
         return node;
--- a/tool/src/main/java/org/redwingladder/tool/ToolMain.java
+++ b/tool/src/main/java/org/redwingladder/tool/ToolMain.java
@@ -103,8 +103,8 @@
     }
 
     private static void printCommands(PrintStream stream, List<String> words) {
-        if (!words.isEmpty() && !words.get(0).startsWith("-") && !words.get(0).equals("settings")) {
-            stream.println("redwingladder: no command " + words.get(0));
+        if (!words.isEmpty() && !words.get(0).startsWith("-")) {
+            stream.println("redwingladder: no command " + String.join(" ", words));
         }
         stream.println("usage: redwingladder COMMAND [OPTION...]; COMMAND --help tells more");
         COMMANDS.forEach(
