--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -66,9 +66,7 @@
         SiteLimits limits =
                 SiteLimits.create(
                         spec.regionOfZone(), spec.caps(), spec.bitsPerSecondByRegion(), now);
-        if (spec.carriedOverUntilNanos() - now > 0) {
-            limits.carryOver(spec.carriedOver(), spec.carriedOverUntilNanos());
-        }
+        spec.carryOver(limits);
         mDispatcher = SiteDispatcher.create(spec.config(), limits, parts.random(), now);
     }
 
@@ -88,17 +86,9 @@
         run(
                 () -> {
                     long now = mTime.nanos();
-                    boolean corrected =
-                            spec.carriedOver() != mSpec.carriedOver()
-                                    || spec.carriedOverUntilNanos()
-                                            != mSpec.carriedOverUntilNanos();
                     mSpec = spec;
                     mDispatcher.limits().change(spec.caps(), spec.bitsPerSecondByRegion(), now);
-                    if (corrected) {
-                        mDispatcher
-                                .limits()
-                                .carryOver(spec.carriedOver(), spec.carriedOverUntilNanos());
-                    }
+                    spec.carryOver(mDispatcher.limits());
                     mDispatcher.configure(spec.config(), now);
                     dispatch();
                 });
--- a/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteSpec.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.limits.SiteCap;
+import org.redwingladder.limits.SiteLimits;
 import org.redwingladder.routing.BackendSpec;
 import org.redwingladder.routing.SiteConfig;
 import org.redwingladder.settings.BackendState;
@@ -118,6 +119,11 @@
                 config, addresses, regions, caps(parts), bits, carriedOverUntilNanos, carriedOver);
     }
 
+    /** Counts the former owner's work under {@code limits}; a repeated call changes nothing. */
+    void carryOver(SiteLimits limits) {
+        limits.carryOver(carriedOver, carriedOverUntilNanos);
+    }
+
     private static List<SiteCap> caps(CapParts parts) {
         List<SiteCap> caps = new ArrayList<>();
         for (CapParts.CapPart part : parts.caps()) {
