Let a new host learn the settings versions that may be in use

Change records now hold the value before the change, and a host reads them back to the lowest acknowledged version.

A test shows a joining host with the versions of a zone that stays behind, another that a lower in-flight cap is acknowledged only after the requests above it have ended.

--- a/core/src/main/java/org/redwingladder/settings/Change.java
+++ b/core/src/main/java/org/redwingladder/settings/Change.java
@@ -15,6 +15,8 @@
  * @param value the new value, or null if the value is removed
  * @param author who made it
  * @param acceptedAt when it was accepted, in epoch milliseconds
+ * @param previous the value before, or null if there was none; a process that starts with a
+ *     snapshot finds older versions with it
  */
 public record Change(
         long version,
@@ -23,7 +25,8 @@
         String path,
         @Nullable JsonNode value,
         String author,
-        long acceptedAt) {
+        long acceptedAt,
+        @Nullable JsonNode previous) {
 
     /** Checks that nothing is missing and copies the value. */
     public Change {
@@ -32,5 +35,18 @@
         requireNonNull(path, "path");
         requireNonNull(author, "author");
         value = value == null || value.isNull() ? null : value.deepCopy();
+        previous = previous == null || previous.isNull() ? null : previous.deepCopy();
+    }
+
+    /** Creates a change of a value that was absent before. */
+    public Change(
+            long version,
+            String changeId,
+            String team,
+            String path,
+            @Nullable JsonNode value,
+            String author,
+            long acceptedAt) {
+        this(version, changeId, team, path, value, author, acceptedAt, null);
     }
 }
--- a/core/src/main/java/org/redwingladder/settings/SettingsOrder.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsOrder.java
@@ -47,6 +47,7 @@
     private final NavigableMap<Long, Settings> mHistory = new TreeMap<>();
     private final NavigableMap<Long, Change> mChanges = new TreeMap<>();
     private SettingsTree mTree = SettingsTree.empty();
+    private SettingsTree mOldest = SettingsTree.empty();
 
     private SettingsOrder(int historyLimit) {
         mHistoryLimit = historyLimit;
@@ -84,6 +85,45 @@
         }
     }
 
+    /** Returns the oldest known version; 0 means that there are no settings yet. */
+    public long oldestVersion() {
+        return mHistory.isEmpty() ? 0 : mHistory.firstKey();
+    }
+
+    /**
+     * Takes older versions into the history, which a snapshot lacks.
+     *
+     * @param changes the changes up to the one that made the oldest known version, in order
+     * @return whether the history reaches further back now
+     */
+    public boolean extendHistory(List<Change> changes) {
+        boolean extended = false;
+        try {
+            for (Change change : changes.reversed()) {
+                if (change.version() == oldestVersion()
+                        && mOldest.version() == oldestVersion()
+                        && mHistory.size() < mHistoryLimit) {
+                    prepend(mOldest.revert(change));
+                    extended = true;
+                }
+            }
+        } catch (SettingsException e) {
+            // A record without the value before, or one of another document: the rest is unknown.
+            return extended;
+        }
+        return extended;
+    }
+
+    private void prepend(SettingsTree tree) throws SettingsException {
+        Settings settings = tree.settings();
+        Map.Entry<Long, Settings> first = mHistory.firstEntry();
+        if (first.getKey() < version() && CapParts.sameInputs(settings, first.getValue())) {
+            mHistory.remove(first.getKey());
+        }
+        mHistory.put(tree.version(), settings);
+        mOldest = tree;
+    }
+
     /** Applies {@code change} if it follows the version in force. */
     public Result accept(Change change) {
         if (change.version() <= version()) {
@@ -144,6 +184,9 @@
             mHistory.remove(last.getKey());
         }
         mHistory.put(tree.version(), settings);
+        if (mHistory.size() == 1) {
+            mOldest = tree;
+        }
         while (mHistory.size() > mHistoryLimit) {
             mHistory.pollFirstEntry();
         }
--- a/core/src/main/java/org/redwingladder/settings/SettingsTree.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsTree.java
@@ -183,6 +183,24 @@
         return new SettingsTree(change.version(), root, versions, past);
     }
 
+    /**
+     * Returns the tree before {@code change}, which made this one. Its subtree versions are not
+     * known and stay as they are.
+     *
+     * @throws SettingsException if another change made this tree
+     */
+    SettingsTree revert(Change change) throws SettingsException {
+        if (change.version() != mVersion) {
+            throw new SettingsException(
+                    change.path(),
+                    "change " + change.changeId() + " made version " + change.version(),
+                    "version " + mVersion);
+        }
+        ObjectNode root = replace(mRoot, pointer(change.path()), change.previous(), change.path());
+        SettingsTree past = mSettings == null ? null : withoutPast();
+        return new SettingsTree(mVersion - 1, root, mSubtreeVersions, past);
+    }
+
     private SettingsTree withoutPast() {
         SettingsTree copy = new SettingsTree(mVersion, mRoot, mSubtreeVersions, null);
         copy.mSettings = mSettings;
--- a/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
+++ b/core/src/test/java/org/redwingladder/settings/SettingsOrderTest.java
@@ -142,6 +142,39 @@
             assertThat(order.history()).containsOnlyKeys(6L, 7L);
         }
 
+        /** Guards against a host that starts with a snapshot and has no parts of caps for long. */
+        @Test
+        void changesLeadBackFromASnapshot() throws Exception {
+            SettingsOrder whole = atVersion(1);
+            List<Change> changes = new ArrayList<>();
+            for (long v = 2; v <= 6; v++) {
+                Change rate = Documents.rate(v, v < 4 ? 40 : 10 * v);
+                Change change =
+                        new Change(
+                                v,
+                                rate.changeId(),
+                                rate.team(),
+                                rate.path(),
+                                rate.value(),
+                                rate.author(),
+                                0,
+                                whole.tree().valueAt(rate.path()));
+                whole.accept(change);
+                changes.add(change);
+            }
+            SettingsOrder started = SettingsOrder.create(100);
+            started.accept(whole.tree());
+
+            assertThat(started.extendHistory(changes)).isTrue();
+            assertThat(started.oldestVersion()).isEqualTo(1);
+            assertThat(started.version()).isEqualTo(6);
+            for (long v = 1; v <= 6; v++) {
+                assertThat(started.history().floorEntry(v).getValue().caps())
+                        .isEqualTo(whole.history().floorEntry(v).getValue().caps());
+            }
+            assertThat(started.extendHistory(changes)).isFalse();
+        }
+
         /** Guards against faults that are overlooked because most of the document is known. */
         @Test
         void sharingOverlooksNoFault() throws Exception {
--- a/daemon/src/main/java/org/redwingladder/control/SettingsDriver.java
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsDriver.java
@@ -33,6 +33,9 @@
     private static final long TICK_MILLIS = 100;
     private static final long PERIOD_MILLIS = 1000;
 
+    /** Bounds the reads of one second after a start while a zone is far behind. */
+    private static final int MAX_HISTORY_READS = 64;
+
     private final Membership mMembership;
     private final SettingsSink mSink;
     private final ControlLoop mLoop;
@@ -48,6 +51,7 @@
     private long mNextAt;
     private boolean mPolling;
     private boolean mPulling;
+    private boolean mReadingHistory;
 
     private SettingsDriver(
             Membership membership,
@@ -98,6 +102,7 @@
         mFailures = failures;
         mPolling = false;
         mPulling = false;
+        mReadingHistory = false;
         mNextAt = mLoop.nowMillis();
         mTicks = mLoop.every(TICK_MILLIS, this::tick, failures);
     }
@@ -195,6 +200,7 @@
         } else if (!mState.acksComplete() || mState.served() < version) {
             askSteward(mMembership.zone());
         }
+        readHistory();
         boolean zoneKnown = mState.acks().byZone().containsKey(mMembership.zone());
         if (version > 0 && !zoneKnown) {
             readAcks();
@@ -251,6 +257,26 @@
                         });
     }
 
+    /** Reads the changes back to the lowest version in use, if a snapshot left them unknown. */
+    private void readHistory() {
+        long oldest = mState.order().oldestVersion();
+        long lowest = Math.max(mState.lowestInUse(), oldest - MAX_HISTORY_READS);
+        if (mReadingHistory || mState.acks().byZone().isEmpty() || lowest >= oldest) {
+            return;
+        }
+        mReadingHistory = true;
+        mStore.changes(lowest, oldest)
+                .whenComplete(
+                        (changes, failure) ->
+                                later(
+                                        () -> {
+                                            mReadingHistory = false;
+                                            if (changes != null) {
+                                                mState.extendHistory(changes);
+                                            }
+                                        }));
+    }
+
     private void askOtherZone() {
         List<String> zones = new ArrayList<>(mMembership.zones());
         zones.remove(mMembership.zone());
--- a/daemon/src/main/java/org/redwingladder/control/SettingsPut.java
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsPut.java
@@ -132,7 +132,8 @@
                         mRequest.path(),
                         mRequest.value(),
                         mRequest.author(),
-                        mRequest.now());
+                        mRequest.now(),
+                        valueBefore(tree));
         SettingsTree next;
         try {
             next = tree.apply(change);
@@ -146,6 +147,15 @@
                 .thenCompose(result -> committed(result, change, number));
     }
 
+    private @Nullable JsonNode valueBefore(SettingsTree tree) {
+        try {
+            return tree.valueAt(mRequest.path());
+        } catch (IllegalArgumentException e) {
+            // Applying the change reports the malformed path.
+            return null;
+        }
+    }
+
     private CompletableFuture<Outcome> committed(
             TransactionResult result, Change change, int number) {
         return switch (result) {
--- a/daemon/src/main/java/org/redwingladder/control/SettingsState.java
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsState.java
@@ -83,6 +83,26 @@
         return news;
     }
 
+    /**
+     * Returns the lowest version that a zone may still serve by; at most the version known when the
+     * acknowledgements were read.
+     */
+    long lowestInUse() {
+        long lowest = Math.min(mAcks.asOf(), version());
+        for (long acknowledged : mAcks.byZone().values()) {
+            lowest = Math.min(lowest, acknowledged);
+        }
+        return lowest;
+    }
+
+    /** Takes older versions that a snapshot lacks, so that parts of caps need not be 0. */
+    void extendHistory(List<Change> changes) {
+        if (mOrder.extendHistory(changes)) {
+            mDeliveredAcks = null;
+            deliver();
+        }
+    }
+
     /** Returns whether all zones that have ever served are known to serve by this version. */
     boolean acksComplete() {
         return mAcks.asOf() >= version()
@@ -119,11 +139,7 @@
         }
         mServed = version;
         mDeliveredAcks = mAcks;
-        long lowest = mAcks.asOf();
-        for (long acknowledged : mAcks.byZone().values()) {
-            lowest = Math.min(lowest, acknowledged);
-        }
-        mOrder.forgetBefore(lowest);
+        mOrder.forgetBefore(lowestInUse());
         mSink.settings(mOrder.history(), mAcks);
     }
 }
--- a/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsCluster.java
@@ -137,6 +137,7 @@
         private final Member mMember;
         private final String mZone;
         private volatile @Nullable Settings mSettings;
+        volatile long mOldestKnown;
 
         private Host(String name, long incarnation, String zone, int listener) throws IOException {
             mZone = zone;
@@ -199,6 +200,7 @@
         @Override
         public void settings(NavigableMap<Long, Settings> versions, Acks acks) {
             mSettings = versions.lastEntry().getValue();
+            mOldestKnown = versions.firstKey();
             mServedVersions.add(versions.lastKey());
         }
 
--- a/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
+++ b/daemon/src/test/java/org/redwingladder/control/SettingsFailureTest.java
@@ -332,6 +332,52 @@
         }
     }
 
+    @Nested
+    class LaggingZone {
+        /** Guards against a new owner without parts of caps while another zone lags. */
+        @Test
+        void newHostLearnsTheVersionsThatMayBeInUse() throws Exception {
+            SettingsCluster.Host far = mCluster.start("h3", 1, "nadi", 0);
+            mCluster.roster("nadi", 0, far);
+            until("the zone has acknowledged", () -> mCluster.ack("nadi") == 1);
+            far.mDriver.stop();
+            lifetime(mFirst, 1002, 1, "c2");
+            lifetime(mFirst, 1003, 2, "c3");
+            SettingsCluster.Host joining = mCluster.start("h4", 1, "suva", 0);
+            mCluster.roster("suva", 1, mFirst, mSecond, joining);
+
+            until("it serves", () -> joining.served() == 3);
+            until("it knows the version of the zone", () -> joining.mOldestKnown == 1);
+        }
+
+        /** Guards against a raise elsewhere while requests above the lower cap still run. */
+        @Test
+        void lowerInFlightCapIsAcknowledgedAfterItsRequestsHaveEnded() throws Exception {
+            SettingsPut.Request store =
+                    new SettingsPut.Request(
+                            "/teams/store", team(), 0, "s1", "store", "key", "ana", 1);
+            SettingsPut.run(mFirst.mDriver, store).join();
+            until("both serve by it", () -> mFirst.served() == 2 && mSecond.served() == 2);
+            long polls = mFirst.polls();
+            mCluster.roster("suva", 2, mFirst, mSecond);
+            until("the steward considered it", () -> mFirst.polls() >= polls + 3);
+
+            // The cap is new, so that requests above it may run for a minute.
+            assertThat(mCluster.ack("suva")).isEqualTo(1);
+        }
+
+        private JsonNode team() throws Exception {
+            return Json.mapper()
+                    .readTree(
+                            """
+                            {"services": {"shop": {"maxRequestMillis": 60000, "rampMillis": 0,
+                               "longSlotsPercent": 66, "zones": {"suva": {"weight": 1}}}},
+                             "caps": {"shop": {"service": "shop", "from": "any", "to": "any",
+                               "inFlight": 5}}}
+                            """);
+        }
+    }
+
     private static SettingsTree apply(SettingsTree tree, Change change) {
         SettingsOrder order = SettingsOrder.create(2);
         order.accept(tree);
