--- a/core/src/main/java/org/redwingladder/settings/SettingsTree.java
+++ b/core/src/main/java/org/redwingladder/settings/SettingsTree.java
@@ -155,6 +155,20 @@
                 path, "no team owns this path", "/deployment or /teams/TEAM, or a path below them");
     }
 
+    /**
+     * Checks that a team may change a path.
+     *
+     * @throws SettingsException if the team's subtree does not hold the path
+     */
+    public static void checkOwner(String path, String team) throws SettingsException {
+        if (!ownerOf(path).equals(team)) {
+            throw new SettingsException(
+                    path,
+                    "team " + team + " does not own this path",
+                    "a path below " + rootOf(team));
+        }
+    }
+
     /**
      * Returns the tree that {@code change} makes of this one.
      *
@@ -168,16 +182,10 @@
                     "change " + change.changeId() + " makes version " + change.version(),
                     "version " + (mVersion + 1));
         }
-        String owner = ownerOf(change.path());
-        if (!owner.equals(change.team())) {
-            throw new SettingsException(
-                    change.path(),
-                    "team " + change.team() + " does not own this path",
-                    "a path below " + rootOf(change.team()));
-        }
+        checkOwner(change.path(), change.team());
         ObjectNode root = replace(mRoot, pointer(change.path()), change.value(), change.path());
         SortedMap<String, Long> versions = new TreeMap<>(mSubtreeVersions);
-        versions.put(owner, change.version());
+        versions.put(change.team(), change.version());
         // Only a tree that is known to be valid is shared with, and it must not keep its own past.
         SettingsTree past = mSettings == null ? null : withoutPast();
         return new SettingsTree(change.version(), root, versions, past);
--- a/daemon/src/main/java/org/redwingladder/control/SettingsPut.java
+++ b/daemon/src/main/java/org/redwingladder/control/SettingsPut.java
@@ -121,6 +121,11 @@
         if (forbidden != null) {
             return done(new Outcome.Forbidden(forbidden));
         }
+        try {
+            SettingsTree.checkOwner(mRequest.path(), team);
+        } catch (SettingsException e) {
+            return done(new Outcome.Invalid(e.errors()));
+        }
         if (tree.subtreeVersion(team) != mRequest.subtreeVersion()) {
             return conflict(tree.subtreeVersion(team));
         }
