--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Refusal;
@@ -65,9 +66,7 @@
         SiteLimits limits =
                 SiteLimits.create(
                         spec.regionOfZone(), spec.caps(), spec.bitsPerSecondByRegion(), now);
-        if (spec.carriedOverUntilNanos() - now > 0) {
-            limits.carryOver(spec.carriedOverUntilNanos());
-        }
+        spec.carryOver(limits);
         mDispatcher = SiteDispatcher.create(spec.config(), limits, parts.random(), now);
     }
 
@@ -89,17 +88,23 @@
                     long now = mTime.nanos();
                     mSpec = spec;
                     mDispatcher.limits().change(spec.caps(), spec.bitsPerSecondByRegion(), now);
+                    spec.carryOver(mDispatcher.limits());
                     mDispatcher.configure(spec.config(), now);
                     dispatch();
                 });
     }
 
-    /** Refuses what waits and takes nothing more; what is in flight goes on. */
-    void stop() {
+    /**
+     * Refuses what waits and takes nothing more; what is in flight goes on.
+     *
+     * @param inFlight completes with the number of attempts that go on, when nothing more is sent
+     */
+    void stop(CompletableFuture<Integer> inFlight) {
         run(
                 () -> {
                     mStopped = true;
                     carryOut(mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
+                    inFlight.complete(mAttempts.size());
                 });
     }
 
