Ask for patience only near sites and keep the rule in SiteLoads

Patience now applies to sites within 5 ms there and back, and the rule and its kept tokens are in SiteLoads, so that the ingress needs no copy of it.

--- a/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyBench.java
@@ -17,7 +17,7 @@
 
 /** Compares the decision logic with naive choices and with an oracle, in virtual time. */
 public final class PolicyBench {
-    private static final int THREADS = 4;
+    private static final int THREADS = 6;
 
     @Option(name = "--seed", usage = "seed of requests and faults")
     private long mSeed = 1;
--- a/bench/src/main/java/org/redwingladder/bench/PolicyOurs.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyOurs.java
@@ -20,9 +20,6 @@
 
 /** Drives the decision logic of ingress and site owners over the fake. */
 final class PolicyOurs implements PolicyRouter {
-    /** Tokens of the retry budget that are kept for losses and full sites. */
-    private static final int TOKENS_KEPT = 3;
-
     final PolicyWorld mWorld;
     final PolicyOptions mOptions;
     private final Map<Integer, PolicySite> mSites = new HashMap<>();
@@ -139,12 +136,11 @@
         SiteLoads known = mOptions.loads() ? loads : SiteLoads.create();
         List<SiteLoads.Site> order = known.order(left, mWorld.now());
         SiteLoads.Site best = order.get(0);
-        boolean mayGoOn =
-                mOptions.patience()
-                        && order.size() > 1
-                        && ingress.budget(request.mWorkClass).tokens() > TOKENS_KEPT;
+        int tokens = ingress.budget(request.mWorkClass).tokens();
         long patience =
-                mayGoOn ? known.patienceNanos(best, order.get(1), mWorld.now()) : Long.MAX_VALUE;
+                mOptions.patience()
+                        ? known.patienceNanos(order, tokens, mWorld.now())
+                        : Long.MAX_VALUE;
         left.remove(best);
         loads.sent(best.name(), mWorld.now());
         int zone = Integer.parseInt(best.name());
--- a/core/src/main/java/org/redwingladder/routing/SiteLoads.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteLoads.java
@@ -26,6 +26,11 @@
     /** A shorter wait is not worth the token of the retry budget that a refusal costs. */
     private static final long LEAST_PATIENCE_NANOS = 2_000_000L;
 
+    /** Tokens of the retry budget that are kept for losses and full sites. */
+    private static final int TOKENS_KEPT = 3;
+
+    private static final long NEAR_NANOS = 5_000_000L;
+
     private static final long NOT_ASKED = Long.MIN_VALUE;
 
     /** After this time an answer that was waited for is taken as lost. */
@@ -88,9 +93,22 @@
     }
 
     /**
-     * Returns how long a request should wait at the first of two sites before the second is better.
+     * Returns how long a request should wait at the first site before the second is better; {@link
+     * Long#MAX_VALUE} if it should wait as long as it takes. A refusal for impatience costs a
+     * token, so that only a near site, which refuses before the tokens are gone, is tried with
+     * patience.
+     *
+     * @param order the sites in the order in which to try them
+     * @param tokens the tokens that the retry budget has left
      */
-    public long patienceNanos(Site first, Site second, long nowNanos) {
+    public long patienceNanos(List<Site> order, int tokens, long nowNanos) {
+        if (order.size() < 2
+                || tokens <= TOKENS_KEPT
+                || order.get(0).roundTripNanos() > NEAR_NANOS) {
+            return Long.MAX_VALUE;
+        }
+        Site first = order.get(0);
+        Site second = order.get(1);
         double further =
                 DISTANCE_WEIGHT * (second.roundTripNanos() - first.roundTripNanos())
                         + waitNanos(second.name(), nowNanos);
--- a/core/src/test/java/org/redwingladder/routing/SiteLoadsTest.java
+++ b/core/src/test/java/org/redwingladder/routing/SiteLoadsTest.java
@@ -69,7 +69,16 @@
         void isTheDifferenceToTheNextSite() {
             mLoads.noted("far", 5 * MILLI, 0);
 
-            assertThat(mLoads.patienceNanos(NEAR, FAR, 0)).isEqualTo(25 * MILLI);
+            List<Site> order = List.of(NEAR, FAR);
+            assertThat(mLoads.patienceNanos(order, 10, 0)).isEqualTo(25 * MILLI);
+        }
+
+        /** Guards against refusals for impatience that leave no token for the next attempt. */
+        @Test
+        void isEndlessWithoutTokensOrFarAway() {
+            assertThat(mLoads.patienceNanos(List.of(NEAR, FAR), 3, 0)).isEqualTo(Long.MAX_VALUE);
+            assertThat(mLoads.patienceNanos(List.of(FAR, NEAR), 10, 0)).isEqualTo(Long.MAX_VALUE);
+            assertThat(mLoads.patienceNanos(List.of(NEAR), 10, 0)).isEqualTo(Long.MAX_VALUE);
         }
     }
 }
