--- a/bench/src/main/java/org/redwingladder/bench/PolicyPlot.java
+++ b/bench/src/main/java/org/redwingladder/bench/PolicyPlot.java
@@ -18,7 +18,7 @@
     private static final int TOP = 40;
     private static final int BOTTOM = 50;
     private static final String[] COLOURS = {
-        "#1b6ca8", "#c0392b", "#27864a", "#8e44ad", "#d68910", "#566573", "#0e8f8f"
+        "#1b6ca8", "#c0392b", "#27864a", "#8e44ad", "#d68910", "#566573", "#0e8f8f", "#111111"
     };
 
     private final String mTitle;
