Report reads without an answer as unknown if an attempt may have run

The tool called a read that was lost and not answered in time refused, with exit code 5 and 'not run', because reads may be repeated. A refusal says that the work has not run, which nobody knows after a loss. Such work now ends as unknown (exit code 4) and counts as unknown in the load report.

--- a/tool/src/main/java/org/redwingladder/tool/RequestRun.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestRun.java
@@ -164,7 +164,7 @@
     }
 
     private void end(String message) {
-        boolean unknown = RetryRules.ended(mWork, mMayHaveRun) instanceof RetryRules.Unknown;
+        boolean unknown = RetryRules.ended(mMayHaveRun) instanceof RetryRules.Unknown;
         finish(unknown ? RequestResult.End.UNKNOWN : RequestResult.End.REFUSED, message);
     }
 
--- a/tool/src/main/java/org/redwingladder/tool/RetryRules.java
+++ b/tool/src/main/java/org/redwingladder/tool/RetryRules.java
@@ -61,14 +61,14 @@
     /** A token's host runs the work at most once, so that asking again with it is safe. */
     private static Next afterLoss(Work work, long nowMillis) {
         return work.isIdempotent() || work.once()
-                ? again(work, work.once(), nowMillis, nowMillis)
+                ? again(work, true, nowMillis, nowMillis)
                 : new Unknown();
     }
 
     private static Next afterRefusal(
             Work work, Refusal refusal, boolean mayHaveRun, long nowMillis) {
         if (refusal.outcome() == Outcome.UNKNOWN) {
-            return work.isIdempotent() ? again(work, false, nowMillis, nowMillis) : new Unknown();
+            return work.isIdempotent() ? again(work, true, nowMillis, nowMillis) : new Unknown();
         }
         if (refusal.retryAtMillis() > 0) {
             return again(work, mayHaveRun, refusal.retryAtMillis(), nowMillis);
@@ -76,17 +76,17 @@
         if (HOST_REASONS.contains(refusal.reason())) {
             return again(work, mayHaveRun, nowMillis, nowMillis);
         }
-        return ended(work, mayHaveRun);
+        return ended(mayHaveRun);
     }
 
     private static Next again(Work work, boolean mayHaveRun, long at, long nowMillis) {
         return Math.max(at, nowMillis) < work.deadlineMillis()
                 ? new Again(Math.max(at, nowMillis), mayHaveRun)
-                : ended(work, mayHaveRun);
+                : ended(mayHaveRun);
     }
 
     /** Returns how work without an answer ends. */
-    static Next ended(Work work, boolean mayHaveRun) {
-        return mayHaveRun && !work.isIdempotent() ? new Unknown() : new Refused();
+    static Next ended(boolean mayHaveRun) {
+        return mayHaveRun ? new Unknown() : new Refused();
     }
 }
--- a/tool/src/test/java/org/redwingladder/tool/RequestRunnerTest.java
+++ b/tool/src/test/java/org/redwingladder/tool/RequestRunnerTest.java
@@ -65,6 +65,16 @@
             assertThat(run("POST", true, LOST, notRun).end()).isEqualTo(RequestResult.End.UNKNOWN);
         }
 
+        @Test
+        void isUnknownWithoutAnAnswerEvenIfIdempotent() {
+            AttemptResult notRun =
+                    FakeTransport.refused(RefusalReason.CAP_RATE, Outcome.NOT_RUN, 30_000);
+
+            assertThat(run("GET", false, LOST, notRun).end()).isEqualTo(RequestResult.End.UNKNOWN);
+            assertThat(run("GET", false, LOST, LOST, WRONG, LOST).end())
+                    .isEqualTo(RequestResult.End.UNKNOWN);
+        }
+
         @Test
         void isRepeatedIfIdempotent() {
             RequestResult result = run("GET", false, LOST, WRONG, FakeTransport.answer());
