Choose sites by the waits that their owners tell

With a near site at its cap or without backend servers, every request was refused there first and needed a retry, so that the budget of 10% ran out: 1,716 of 14,927 jersey-catalogue requests of a demo run were refused although other zones had room. A larger retry budget was ruled out, because it multiplies load in an overload.

Owners now tell in each answer and refusal how long a request of the class would wait (Redwing-Wait); the ingress orders sites by distance and wait, tells its patience (Redwing-Patience), and keeps away for a while from sites that refuse by a cap or have no owner.

--- a/core/src/main/java/org/redwingladder/api/Headers.java
+++ b/core/src/main/java/org/redwingladder/api/Headers.java
@@ -38,6 +38,12 @@
     /** Marks a refusal of work that certainly did not run. */
     public static final String NOT_RUN = "Redwing-Not-Run";
 
+    /** Tells how long a request of the same class would wait at a site now, in microseconds. */
+    public static final String WAIT = "Redwing-Wait";
+
+    /** Tells how long a request should wait at a site at most, in microseconds. */
+    public static final String PATIENCE = "Redwing-Patience";
+
     /** Names the change that an operator puts. */
     public static final String CHANGE_ID = "Redwing-Change-Id";
 
--- a/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterSnapshot.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.membership.Member;
@@ -26,6 +27,11 @@
 
 /** Holds one consistent state of the cluster as this process knows it. */
 final class ClusterSnapshot {
+    // Two zones of one region are about a millisecond apart; regions without a stated distance are
+    // the last to try.
+    private static final double LEAST_MILLIS = 1;
+    private static final double MOST_MILLIS = 1000;
+
     private final Member mSelf;
     private final String mZone;
     private final RosterView mView;
@@ -211,4 +217,16 @@
         return new ClusterView.Peer(
                 member.host(), member.incarnation(), zone, Addresses.parse(member.peerAddress()));
     }
+
+    /** Returns how long a message and its answer travel between two zones. */
+    long roundTripNanos(String from, String to) {
+        Settings settings = settings();
+        String near = settings == null ? null : settings.regionOf(from);
+        String far = settings == null ? null : settings.regionOf(to);
+        if (settings == null || from.equals(to) || near == null || far == null) {
+            return 0;
+        }
+        double oneWay = Math.clamp(settings.oneWayMillis(near, far), LEAST_MILLIS, MOST_MILLIS);
+        return (long) (2 * oneWay * TimeUnit.MILLISECONDS.toNanos(1));
+    }
 }
--- a/daemon/src/main/java/org/redwingladder/control/ClusterState.java
+++ b/daemon/src/main/java/org/redwingladder/control/ClusterState.java
@@ -139,6 +139,11 @@
         return mLookup.siteOrder(service, block).stream().map(Site::zone).toList();
     }
 
+    @Override
+    public long roundTripNanos(String zone) {
+        return mSnapshot.roundTripNanos(mZone, zone);
+    }
+
     @Override
     public @Nullable LookupAnswer lookup(String service, int block, long nowMillis) {
         return mLookup.lookup(service, block, nowMillis);
--- a/daemon/src/main/java/org/redwingladder/request/AnswerSink.java
+++ b/daemon/src/main/java/org/redwingladder/request/AnswerSink.java
@@ -7,6 +7,12 @@
 /** Receives the only final answer of a request: exactly one method is called, once. */
 interface AnswerSink {
 
+    /**
+     * Receives how long a request of the same class would wait at the site now. It is called at
+     * most once, before the final answer.
+     */
+    default void expectedWait(long nanos) {}
+
     /** Receives a whole answer of a backend server. */
     void whole(WholeAnswer answer, String backend);
 
--- a/daemon/src/main/java/org/redwingladder/request/BackendAttempt.java
+++ b/daemon/src/main/java/org/redwingladder/request/BackendAttempt.java
@@ -3,10 +3,14 @@
 import io.undertow.util.HeaderMap;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.AnswerHandler;
+import org.redwingladder.http.AnswerLostException;
+import org.redwingladder.http.BadAnswerException;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
+import org.redwingladder.http.NotSentException;
 import org.redwingladder.http.StreamedAnswer;
 import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.routing.AttemptResult;
 
 /**
  * Holds one attempt at a backend server. Its fields are used only by the owner's serial queue; the
@@ -83,4 +87,19 @@
     static boolean isShed(int status, HeaderMap headers) {
         return status == 503 && "true".equals(headers.getFirst(WireHeaders.NOT_RUN));
     }
+
+    /** Returns what a failed call means for the choice of backend servers. */
+    static AttemptResult resultOf(CallException cause) {
+        return switch (cause) {
+            case NotSentException notSent ->
+                    notSent.reason() == NotSentException.Cause.REFUSED
+                            ? AttemptResult.REFUSED_CONNECTION
+                            : AttemptResult.SHED;
+            case BadAnswerException bad -> AttemptResult.BAD_ANSWER;
+            case AnswerLostException lost ->
+                    lost.reason() == AnswerLostException.Cause.RECEIVER_GONE
+                            ? AttemptResult.ANSWERED
+                            : AttemptResult.LOST;
+        };
+    }
 }
--- a/daemon/src/main/java/org/redwingladder/request/ClusterView.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClusterView.java
@@ -36,6 +36,11 @@
      */
     List<String> sitesInOrder(String service, int block);
 
+    /** Returns how long a request and its answer travel between this host and a zone. */
+    default long roundTripNanos(String zone) {
+        return 0;
+    }
+
     /** Returns the answer to a look-up, without a token; null if the service is unknown. */
     @Nullable LookupAnswer lookup(String service, int block, long nowMillis);
 
--- a/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
+++ b/daemon/src/main/java/org/redwingladder/request/IngressRequest.java
@@ -9,6 +9,7 @@
 import org.redwingladder.http.StreamedAnswer;
 import org.redwingladder.http.WholeAnswer;
 import org.redwingladder.retry.RetryDecision;
+import org.redwingladder.routing.SiteLoads;
 import org.redwingladder.settings.Site;
 
 /** Tries one request at one site after the other until it has its final answer. */
@@ -18,7 +19,8 @@
     private final AnswerSink mSink;
     private final int mHop;
     private final Explanation mExplanation;
-    private final List<String> mZones;
+    private final String mKey;
+    private final List<SiteLoads.Site> mSites;
     private int mNext;
     private @Nullable Candidate mCurrent;
     private boolean mDone;
@@ -33,7 +35,11 @@
                 ingress.parts()
                         .explanations()
                         .start(request.requestId(), request.service().name(), "ingress");
-        mZones = ingress.parts().view().sitesInOrder(request.service().name(), request.block());
+        mKey = SiteChoice.key(request);
+        ClusterView view = ingress.parts().view();
+        mSites =
+                ingress.choice()
+                        .order(mKey, view.sitesInOrder(request.service().name(), request.block()));
     }
 
     void start() {
@@ -42,8 +48,8 @@
 
     private void tryNext(@Nullable Refusal last) {
         ClusterView view = mIngress.parts().view();
-        while (mNext < mZones.size()) {
-            String zone = mZones.get(mNext++);
+        while (mNext < mSites.size()) {
+            String zone = mSites.get(mNext++).name();
             ClusterView.Peer owner = view.ownerOf(zone, mRequest.service().name());
             if (owner == null) {
                 explain(zone, "skipped: no owner known");
@@ -152,16 +158,25 @@
         }
 
         void start() {
+            mIngress.choice().sent(mKey, mZone);
+            long patience =
+                    mIngress.choice()
+                            .patienceNanos(
+                                    mKey,
+                                    mSites.subList(mNext - 1, mSites.size()),
+                                    mIngress.tokens(mRequest));
             ClusterView.Self self = mIngress.parts().view().self();
             if (!mOwner.host().equals(self.host())) {
-                mCancel = PeerCall.dispatch(mIngress.parts(), mRequest, mOwner, mHop + 1, this);
+                mCancel =
+                        PeerCall.dispatch(
+                                mIngress.parts(), mRequest, mOwner, mHop + 1, patience, this);
                 return;
             }
             SiteOwner owner = mIngress.owners().owner(mRequest.service().name());
             if (owner == null) {
                 refused(Refusal.notRun(RefusalReason.NOT_OWNER, 0, "the site has not started"));
             } else {
-                mCancel = owner.offer(mRequest, this, mExplanation);
+                mCancel = owner.offer(mRequest, patience, this, mExplanation);
             }
         }
 
@@ -176,6 +191,11 @@
             }
         }
 
+        @Override
+        public void expectedWait(long nanos) {
+            mIngress.choice().noted(mKey, mZone, nanos);
+        }
+
         @Override
         public void whole(WholeAnswer answer, String backend) {
             if (finish(this)) {
@@ -203,6 +223,7 @@
                     return;
                 }
             }
+            mIngress.choice().refused(mKey, mZone, refusal);
             mMayHaveRun |= refusal.outcome() == Outcome.UNKNOWN;
             explain(name(), refusal.reason().wireName() + ", " + refusal.outcome().wireName());
             long now = mIngress.parts().time().nanos();
@@ -218,7 +239,7 @@
                                 TimeUnit.MILLISECONDS);
                 return;
             }
-            switch (mIngress.decide(mRequest, refusal, mZones.size() - mNext)) {
+            switch (mIngress.decide(mRequest, refusal, mSites.size() - mNext)) {
                 case RetryDecision.Retry retry -> {
                     mIngress.parts().metrics().retry(refusal.reason());
                     tryNext(refusal);
--- a/daemon/src/main/java/org/redwingladder/request/OwnedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/request/OwnedRequest.java
@@ -1,6 +1,8 @@
 package org.redwingladder.request;
 
+import org.redwingladder.routing.SiteDispatcher;
 import org.redwingladder.routing.SiteRequest;
+import org.redwingladder.routing.WorkClass;
 
 /** Holds a request while its site's owner has it. Used only by the owner's serial queue. */
 final class OwnedRequest {
@@ -37,6 +39,13 @@
         return mExplanation;
     }
 
+    /** Tells the ingress how long a request like this one would wait now. */
+    void tellWait(SiteDispatcher dispatcher, long nowNanos) {
+        WorkClass stated = mSiteRequest.statedClass();
+        WorkClass workClass = stated == null ? WorkClass.SHORT : stated;
+        mSink.expectedWait(dispatcher.expectedWaitNanos(workClass, nowNanos));
+    }
+
     /** Returns true once, for the caller that gives the only final answer. */
     boolean decide() {
         boolean first = !mDecided;
--- a/daemon/src/main/java/org/redwingladder/request/PeerCall.java
+++ b/daemon/src/main/java/org/redwingladder/request/PeerCall.java
@@ -1,6 +1,7 @@
 package org.redwingladder.request;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import java.util.Locale;
 import org.redwingladder.api.ErrorBody;
 import org.redwingladder.api.Outcome;
@@ -20,6 +21,8 @@
     static final String DISPATCH = "/peer/v1/dispatch/";
     static final String ONCE = "/peer/v1/once/";
 
+    private static final long NANOS_PER_MICRO = 1000;
+
     private final String mPeer;
     private final AnswerSink mSink;
 
@@ -34,14 +37,15 @@
             InboundRequest inbound,
             ClusterView.Peer owner,
             int hop,
+            long patienceNanos,
             AnswerSink sink) {
-        return send(parts, inbound, owner, DISPATCH, hop, sink);
+        return send(parts, inbound, owner, DISPATCH, hop, patienceNanos, sink);
     }
 
     /** Sends a request to its token's host; the returned step gives it up. */
     static Runnable once(
             RequestParts parts, InboundRequest inbound, ClusterView.Peer host, AnswerSink sink) {
-        return send(parts, inbound, host, ONCE, 1, sink);
+        return send(parts, inbound, host, ONCE, 1, Long.MAX_VALUE, sink);
     }
 
     private static Runnable send(
@@ -50,6 +54,7 @@
             ClusterView.Peer peer,
             String prefix,
             int hop,
+            long patienceNanos,
             AnswerSink sink) {
         CallRequest call =
                 CallRequest.of(
@@ -62,6 +67,9 @@
         call.header(WireHeaders.DEADLINE, Long.toString(inbound.deadlineMillis()));
         call.header(WireHeaders.HOP, Integer.toString(hop));
         call.header(WireHeaders.FROM_ZONE, parts.view().self().zone());
+        if (patienceNanos != Long.MAX_VALUE) {
+            call.header(WireHeaders.PATIENCE, Long.toString(patienceNanos / NANOS_PER_MICRO));
+        }
         if (inbound.startByMillis() != Long.MAX_VALUE) {
             call.header(WireHeaders.START_BY, Long.toString(inbound.startByMillis()));
         }
@@ -72,8 +80,24 @@
         return running::cancel;
     }
 
+    /** Returns the nanoseconds that a header states in microseconds, or {@code absent}. */
+    static long nanos(HeaderMap headers, HttpString name, long absent) {
+        String text = headers.getFirst(name);
+        return text != null && text.matches("[0-9]{1,12}")
+                ? Long.parseLong(text) * NANOS_PER_MICRO
+                : absent;
+    }
+
+    private void tellWait(HeaderMap headers) {
+        long wait = nanos(headers, WireHeaders.WAIT, -1);
+        if (wait >= 0) {
+            mSink.expectedWait(wait);
+        }
+    }
+
     @Override
     public void whole(WholeAnswer answer) {
+        tellWait(answer.headers());
         String backend = answer.headers().getFirst(WireHeaders.BACKEND);
         if (backend != null) {
             mSink.whole(answer, backend);
@@ -103,6 +127,7 @@
     @Override
     public void streamed(StreamedAnswer answer) {
         HeaderMap headers = answer.headers();
+        tellWait(headers);
         String backend = headers.getFirst(WireHeaders.BACKEND);
         StreamedAnswer.TransferHandler handler = OnceRequests.ignoring();
         if (backend == null) {
--- a/daemon/src/main/java/org/redwingladder/request/PeerHandler.java
+++ b/daemon/src/main/java/org/redwingladder/request/PeerHandler.java
@@ -50,7 +50,7 @@
         Explanation explanation =
                 mParts.explanations().start(request.requestId(), request.service().name(), "owner");
         ClientWatch watch = ClientWatch.start(exchange);
-        Runnable cancel = owner.offer(request, sink, explanation);
+        Runnable cancel = owner.offer(request, patience(exchange), sink, explanation);
         watch.onGone(
                 () -> {
                     cancel.run();
@@ -58,6 +58,10 @@
                 });
     }
 
+    private static long patience(HttpServerExchange exchange) {
+        return PeerCall.nanos(exchange.getRequestHeaders(), WireHeaders.PATIENCE, Long.MAX_VALUE);
+    }
+
     private static void refuse(HttpServerExchange exchange, String requestId, Refusal refusal) {
         Replies.refusal(exchange, requestId, refusal);
     }
--- a/daemon/src/main/java/org/redwingladder/request/ReplySink.java
+++ b/daemon/src/main/java/org/redwingladder/request/ReplySink.java
@@ -1,6 +1,7 @@
 package org.redwingladder.request;
 
 import io.undertow.server.HttpServerExchange;
+import java.util.concurrent.TimeUnit;
 import org.redwingladder.api.Refusal;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.StreamedAnswer;
@@ -24,6 +25,15 @@
         mEnded = ended;
     }
 
+    @Override
+    public void expectedWait(long nanos) {
+        if (!mAbandoned) {
+            mExchange
+                    .getResponseHeaders()
+                    .put(WireHeaders.WAIT, Long.toString(TimeUnit.NANOSECONDS.toMicros(nanos)));
+        }
+    }
+
     @Override
     public void whole(WholeAnswer answer, String backend) {
         mEnded.run();
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -10,12 +10,9 @@
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.api.Refusal;
 import org.redwingladder.api.RefusalReason;
-import org.redwingladder.http.AnswerLostException;
-import org.redwingladder.http.BadAnswerException;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.HttpCaller;
-import org.redwingladder.http.NotSentException;
 import org.redwingladder.http.StreamedAnswer;
 import org.redwingladder.http.WholeAnswer;
 import org.redwingladder.limits.BitPacer;
@@ -75,9 +72,10 @@
     }
 
     /** Takes a request; the returned step tells the owner that the client has gone. */
-    Runnable offer(InboundRequest inbound, AnswerSink sink, Explanation explanation) {
+    Runnable offer(
+            InboundRequest inbound, long patience, AnswerSink sink, Explanation explanation) {
         OwnedRequest[] owned = new OwnedRequest[1];
-        run(() -> owned[0] = offerInQueue(inbound, sink, explanation));
+        run(() -> owned[0] = offerInQueue(inbound, patience, sink, explanation));
         return () -> run(() -> cancelInQueue(owned[0]));
     }
 
@@ -123,7 +121,7 @@
     }
 
     private @Nullable OwnedRequest offerInQueue(
-            InboundRequest inbound, AnswerSink sink, Explanation explanation) {
+            InboundRequest inbound, long patience, AnswerSink sink, Explanation explanation) {
         long now = mTime.nanos();
         if (mStopped) {
             sink.refused(Refusal.notRun(RefusalReason.NOT_OWNER, 0, "the site has moved"));
@@ -143,7 +141,7 @@
                         inbound.idempotent());
         OwnedRequest request = new OwnedRequest(inbound, siteRequest, sink, explanation);
         mRequests.put(siteRequest.id(), request);
-        carryOut(mDispatcher.offer(siteRequest, now));
+        carryOut(mDispatcher.offer(siteRequest, patience, now));
         dispatch();
         return request;
     }
@@ -256,6 +254,7 @@
         if (request == null || attempt == null || !request.decide()) {
             return;
         }
+        request.tellWait(mDispatcher, mTime.nanos());
         StreamedAnswer streamed = attempt.streamedAnswer();
         if (streamed != null) {
             request.sink().streamed(streamed, attempt.backend(), transfer(attempt));
@@ -291,7 +290,7 @@
 
                     @Override
                     public void failed(CallException cause) {
-                        run(() -> ended(attempt, resultOf(cause)));
+                        run(() -> ended(attempt, BackendAttempt.resultOf(cause)));
                     }
                 };
         return new AnswerSink.Transfer(pacer(attempt.request().inbound().fromZone()), handler);
@@ -302,6 +301,7 @@
         if (request == null || !request.decide()) {
             return;
         }
+        request.tellWait(mDispatcher, mTime.nanos());
         long retryAt = refuse.retryAtNanos() == 0 ? 0 : mTime.toMillis(refuse.retryAtNanos());
         request.sink()
                 .refused(
@@ -342,7 +342,7 @@
 
     void failed(BackendAttempt attempt, CallException cause) {
         attempt.request().explanation().add(mTime.millis(), attempt.backend(), cause.getMessage());
-        ended(attempt, resultOf(cause));
+        ended(attempt, BackendAttempt.resultOf(cause));
     }
 
     private void ended(BackendAttempt attempt, AttemptResult result) {
@@ -354,20 +354,6 @@
         dispatch();
     }
 
-    private static AttemptResult resultOf(CallException cause) {
-        return switch (cause) {
-            case NotSentException notSent ->
-                    notSent.reason() == NotSentException.Cause.REFUSED
-                            ? AttemptResult.REFUSED_CONNECTION
-                            : AttemptResult.SHED;
-            case BadAnswerException bad -> AttemptResult.BAD_ANSWER;
-            case AnswerLostException lost ->
-                    lost.reason() == AnswerLostException.Cause.RECEIVER_GONE
-                            ? AttemptResult.ANSWERED
-                            : AttemptResult.LOST;
-        };
-    }
-
     private void report(String backend, HeaderMap headers) {
         LoadReport report = LoadHeaders.parse(headers);
         if (report != null) {
--- a/daemon/src/main/java/org/redwingladder/request/WireHeaders.java
+++ b/daemon/src/main/java/org/redwingladder/request/WireHeaders.java
@@ -19,6 +19,8 @@
     static final HttpString BACKEND = of(org.redwingladder.api.Headers.BACKEND);
     static final HttpString LOAD = of(org.redwingladder.api.Headers.LOAD);
     static final HttpString STATE = of(org.redwingladder.api.Headers.STATE);
+    static final HttpString WAIT = of(org.redwingladder.api.Headers.WAIT);
+    static final HttpString PATIENCE = of(org.redwingladder.api.Headers.PATIENCE);
     static final HttpString NOT_RUN = of(org.redwingladder.api.Headers.NOT_RUN);
 
     /** Headers that concern one connection, or that each hop sets itself. */
@@ -44,6 +46,8 @@
                     BACKEND,
                     LOAD,
                     STATE,
+                    WAIT,
+                    PATIENCE,
                     NOT_RUN);
 
     private WireHeaders() {}
--- a/daemon/src/test/java/org/redwingladder/request/TestHost.java
+++ b/daemon/src/test/java/org/redwingladder/request/TestHost.java
@@ -1,5 +1,6 @@
 package org.redwingladder.request;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -65,6 +66,13 @@
         return mMetrics.counter(name).getCount();
     }
 
+    /** Returns the retries for any reason. */
+    long retries() {
+        return mMetrics.getCounters((name, metric) -> name.startsWith("retry.")).values().stream()
+                .mapToLong(Counter::getCount)
+                .sum();
+    }
+
     @Override
     public void close() {
         mClients.close();
