--- a/bench/src/main/java/org/redwingladder/bench/BenchSpread.java
+++ b/bench/src/main/java/org/redwingladder/bench/BenchSpread.java
@@ -1,6 +1,5 @@
 package org.redwingladder.bench;
 
-import io.undertow.util.HttpString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executors;
@@ -8,9 +7,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLongArray;
-import org.redwingladder.http.CallRequest;
-import org.redwingladder.http.Json;
-import org.redwingladder.platform.Row;
+import org.redwingladder.platform.PlatformClient;
 
 /**
  * Compares the spread of a settings change over 23 entry hosts in six zones with each host polling
@@ -22,7 +19,7 @@
     private static final int CHANGES = 7;
     private static final long IDLE_SECONDS = 5;
     private static final long POLL_MILLIS = 1000;
-    private static final String HEAD = "/table/rows/settings%2Fhead";
+    private static final String HEAD = "settings/head";
 
     private BenchSpread() {}
 
@@ -69,14 +66,16 @@
 
     /** Polls the head row for each host, as the baseline does. */
     private static final class Poller implements AutoCloseable {
-        private final BenchCluster mCluster;
+        private final PlatformClient mPlatform;
         private final AtomicLongArray mSeen = new AtomicLongArray(HOSTS);
         private final AtomicLongArray mSeenAt = new AtomicLongArray(HOSTS);
         private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(1);
         private final List<ScheduledFuture<?>> mTasks = new ArrayList<>();
 
         Poller(BenchCluster cluster) {
-            mCluster = cluster;
+            mPlatform =
+                    PlatformClient.create(
+                            cluster.mCaller, List.of(cluster.mPlatform.socketAddress()));
             for (int i = 0; i < HOSTS; i++) {
                 int host = i;
                 mTasks.add(
@@ -89,31 +88,18 @@
         }
 
         private void poll(int host) {
-            CallRequest request =
-                    CallRequest.of(
-                            new HttpString("GET"),
-                            mCluster.mPlatform.socketAddress(),
-                            HEAD,
-                            BenchCluster.deadline());
-            mCluster.mCaller
-                    .ask(request)
+            mPlatform
+                    .row(HEAD, BenchCluster.deadline())
                     .thenAccept(
-                            answer -> {
-                                long version = version(answer.body());
+                            row -> {
+                                long version =
+                                        row.map(r -> r.value().path("version").asLong()).orElse(0L);
                                 if (mSeen.getAndSet(host, version) < version) {
                                     mSeenAt.set(host, System.nanoTime());
                                 }
                             });
         }
 
-        private static long version(byte[] body) {
-            try {
-                return Json.read(body, Row.class).value().get("version").asLong();
-            } catch (org.redwingladder.http.JsonException e) {
-                return 0;
-            }
-        }
-
         /** Waits until all have seen {@code version}; returns when the last one did. */
         long awaitAll(long version) throws InterruptedException {
             long last = 0;
