--- a/bench/src/main/java/org/redwingladder/bench/BenchCluster.java
+++ b/bench/src/main/java/org/redwingladder/bench/BenchCluster.java
@@ -28,6 +28,7 @@
 
     private static final String TEAM_KEY = "key-of-all-teams";
     private static final int BACKEND_SLOTS = 64;
+    private static final int IO_THREADS = Integer.getInteger("bench.ioThreads", 2);
     private static final long CALL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long POLL_MILLIS = 2;
     private static final BackendConfig.PathClass INSTANT =
@@ -52,7 +53,7 @@
                             new DaemonConfig.Listen(any, any, any),
                             List.of(mPlatform.socketAddress()),
                             "0123456789abcdef".getBytes(UTF_8),
-                            DaemonConfig.Limits.DEFAULT);
+                            new DaemonConfig.Limits(IO_THREADS, 8192, 1024, 60_000));
             mDaemons.add(Daemon.start(config));
         }
         put("deployment", "/deployment", 0, deployment(zones));
