Print option defaults in help texts, end calls quietly at shutdown

--help showed its own value as the default, because the parsed command was printed. A caller that was closed at the end of an answer threw RejectedExecutionException inside an I/O callback, which logged a stack trace at the end of some tests and processes.

--- a/daemon/src/main/java/org/redwingladder/daemon/Main.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Main.java
@@ -45,11 +45,11 @@
             parser.parseArgument(arguments);
         } catch (CmdLineException e) {
             err.println("redwingladderd: " + e.getMessage());
-            usage(parser, err);
+            usage(err);
             return EXIT_USAGE;
         }
         if (mHelp || mConfig == null) {
-            usage(parser, out);
+            usage(out);
             return EXIT_OK;
         }
         DaemonConfig config;
@@ -91,8 +91,9 @@
         }
     }
 
-    private static void usage(CmdLineParser parser, PrintStream out) {
+    private static void usage(PrintStream out) {
         out.println("usage: redwingladderd --config FILE [--check]");
-        parser.printUsage(out);
+        // A parser that has parsed nothing shows the defaults and not the values of this run.
+        new CmdLineParser(new Main()).printUsage(out);
     }
 }
--- a/http/src/main/java/org/redwingladder/http/AnswerReader.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerReader.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.concurrent.RejectedExecutionException;
 import org.xnio.channels.StreamSourceChannel;
 
 /** Reads the body of one answer, whole if it fits the limit, and hands it to the call's handler. */
@@ -120,17 +121,20 @@
             step.run();
             return;
         }
-        mConnection
-                .thread()
-                .execute(
-                        () -> {
-                            if (mConnection.isOpen()) {
-                                step.run();
-                            } else {
-                                mCall.finish(
-                                        new BadAnswerException("bytes follow the answer's end"));
-                            }
-                        });
+        try {
+            mConnection.thread().execute(() -> finishUnlessClosed(step));
+        } catch (RejectedExecutionException e) {
+            // The caller is being closed; whether bytes follow can no longer be seen.
+            mCall.finish(new BadAnswerException("the caller was closed at the answer's end"));
+        }
+    }
+
+    private void finishUnlessClosed(Runnable step) {
+        if (mConnection.isOpen()) {
+            step.run();
+        } else {
+            mCall.finish(new BadAnswerException("bytes follow the answer's end"));
+        }
     }
 
     private boolean closes() {
--- a/tool/src/main/java/org/redwingladder/tool/ToolMain.java
+++ b/tool/src/main/java/org/redwingladder/tool/ToolMain.java
@@ -59,11 +59,11 @@
             parser.parseArgument(words.subList(used, words.size()));
         } catch (CmdLineException e) {
             err.println("redwingladder " + name + ": " + e.getMessage());
-            printUsage(err, name, command, parser);
+            printUsage(err, name, supplier.get());
             return ExitCode.USAGE.code();
         }
         if (command.help()) {
-            printUsage(out, name, command, parser);
+            printUsage(out, name, supplier.get());
             return ExitCode.OK.code();
         }
         return run(name, command, out, err);
@@ -111,8 +111,9 @@
                 (name, supplier) -> stream.printf("  %-18s %s%n", name, supplier.get().summary()));
     }
 
-    private static void printUsage(
-            PrintStream stream, String name, Command command, CmdLineParser parser) {
+    /** Prints the options of an unparsed command, so that defaults are not the parsed values. */
+    private static void printUsage(PrintStream stream, String name, Command command) {
+        CmdLineParser parser = new CmdLineParser(command);
         stream.println(command.summary());
         StringBuilder line = new StringBuilder("usage: redwingladder ").append(name);
         parser.getArguments().forEach(a -> line.append(' ').append(a.option.metaVar()));
