--- a/bench/src/main/java/org/redwingladder/bench/CapacityBench.java
+++ b/bench/src/main/java/org/redwingladder/bench/CapacityBench.java
@@ -13,7 +13,10 @@
 public final class CapacityBench {
     private CapacityBench() {}
 
-    /** Prints one line a role and size, as {@code role | size | bytes | microseconds | bytes}. */
+    /**
+     * Prints one line a role and size, as {@code role | size | bytes | microseconds | bytes}, then
+     * the figures of the look-up table and the settings document.
+     */
     public static void main(String[] args) throws Exception {
         List<CapacityLine> lines = new ArrayList<>();
         CapacityHttp.Heads heads = CapacityHttp.measureHeads();
@@ -45,5 +48,6 @@
                             line.cpuMicros(),
                             line.stateBytes()));
         }
+        LookupBench.main(args);
     }
 }
