--- /dev/null
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -0,0 +1,139 @@
+package org.redwingladder.steering;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the backend servers that requests may go to.
+ *
+ * <p>A server is left out while it drains, while its zone is evacuated and once it is gone. Servers
+ * of a zone that comes back from an evacuation are taken as cold. Not thread-safe.
+ */
+public final class BackendSet {
+    private final Map<String, String> mRegionOfZone;
+    private final Map<String, Backend> mById = new HashMap<>();
+    private final Map<String, List<Backend>> mUsable = new HashMap<>();
+    private Map<String, ServiceSpec> mServices = Map.of();
+    private Set<String> mEvacuated = Set.of();
+    private long mChanges;
+    private boolean mFilled;
+
+    private BackendSet(Map<String, String> regionOfZone) {
+        mRegionOfZone = Map.copyOf(regionOfZone);
+    }
+
+    /** Creates an empty set for a deployment whose zones lie in the given regions. */
+    public static BackendSet create(Map<String, String> regionOfZone) {
+        return new BackendSet(regionOfZone);
+    }
+
+    /** Takes over the services of a settings version. */
+    public void services(Map<String, ServiceSpec> services) {
+        mServices = services;
+        rebuild();
+    }
+
+    /** Returns a service, null if the settings do not name it. */
+    public @Nullable ServiceSpec service(String name) {
+        return mServices.get(name);
+    }
+
+    /** Takes over the zones whose servers get nothing. */
+    public void evacuated(Set<String> zones, long nowNanos) {
+        for (Backend backend : mById.values()) {
+            String zone = backend.entry().zone();
+            if (mEvacuated.contains(zone) && !zones.contains(zone)) {
+                backend.coldUntil(nowNanos + warmUpNanos(backend.entry()));
+            }
+        }
+        mEvacuated = Set.copyOf(zones);
+        rebuild();
+    }
+
+    /** Takes over the registered servers; those that are missing are gone. */
+    public void servers(Collection<ServerEntry> entries, long nowNanos) {
+        Set<String> present = new HashSet<>();
+        for (ServerEntry entry : entries) {
+            present.add(entry.id());
+            Backend known = mById.get(entry.id());
+            if (known == null || restarted(known.entry(), entry)) {
+                // A server that joins while others are known has just started.
+                long coldUntil = mFilled ? nowNanos + warmUpNanos(entry) : entry.coldUntilNanos();
+                mById.put(
+                        entry.id(),
+                        new Backend(entry, Math.max(coldUntil, entry.coldUntilNanos())));
+            } else {
+                known.update(entry);
+            }
+        }
+        mById.keySet().retainAll(present);
+        mFilled = mFilled || !mById.isEmpty();
+        rebuild();
+    }
+
+    private static boolean restarted(ServerEntry known, ServerEntry now) {
+        return known.bornMillis() != now.bornMillis() || !known.address().equals(now.address());
+    }
+
+    private long warmUpNanos(ServerEntry entry) {
+        ServiceSpec service = mServices.get(entry.service());
+        return service == null ? 0 : service.warmUpMillis() * 1_000_000L;
+    }
+
+    private void rebuild() {
+        mUsable.clear();
+        mChanges++;
+        for (Backend backend : mById.values()) {
+            ServerEntry entry = backend.entry();
+            if (!entry.draining()
+                    && !mEvacuated.contains(entry.zone())
+                    && mRegionOfZone.containsKey(entry.zone())) {
+                mUsable.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(backend);
+            }
+        }
+        for (List<Backend> backends : mUsable.values()) {
+            backends.sort((a, b) -> a.entry().id().compareTo(b.entry().id()));
+        }
+    }
+
+    /** Returns the servers of a service that may get requests, by id. */
+    public List<Backend> usable(String service) {
+        return mUsable.getOrDefault(service, List.of());
+    }
+
+    /** Returns whether a server may still get requests. */
+    public boolean contains(Backend backend) {
+        return usable(backend.entry().service()).contains(backend);
+    }
+
+    /** Returns the region of a zone. */
+    public String region(String zone) {
+        return mRegionOfZone.getOrDefault(zone, zone);
+    }
+
+    /** Returns a number that rises with each change of the usable servers. */
+    public long changes() {
+        return mChanges;
+    }
+
+    /** Returns the number of registered servers, usable or not. */
+    public int size() {
+        return mById.size();
+    }
+
+    /** Returns the slots of a service by region. */
+    public Map<String, Double> slotsByRegion(String service) {
+        Map<String, Double> slots = new HashMap<>();
+        for (Backend backend : usable(service)) {
+            slots.merge(
+                    region(backend.entry().zone()), (double) backend.entry().slots(), Double::sum);
+        }
+        return slots;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/steering/HostEntry.java
@@ -0,0 +1,33 @@
+package org.redwingladder.steering;
+
+import java.util.Map;
+
+/**
+ * Tells what a host says of itself.
+ *
+ * @param name the host's name
+ * @param startedMillis when its process started, in epoch milliseconds
+ * @param beats rises while the process runs
+ * @param zone its availability zone
+ * @param peerAddress where other hosts reach it
+ * @param clientAddress where clients reach it
+ * @param serving whether clients should be sent to it
+ * @param demand the requests a second that it receives, by service
+ */
+public record HostEntry(
+        String name,
+        long startedMillis,
+        long beats,
+        String zone,
+        String peerAddress,
+        String clientAddress,
+        boolean serving,
+        Map<String, Double> demand) {
+
+    /** Returns whether this is newer than {@code other}, which describes the same host. */
+    boolean newerThan(HostEntry other) {
+        return startedMillis != other.startedMillis
+                ? startedMillis > other.startedMillis
+                : beats > other.beats;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/redwingladder/steering/Rendezvous.java
@@ -0,0 +1,44 @@
+package org.redwingladder.steering;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Orders names by their weight for a key; all hosts find the same order. */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /** Returns the names, the one with the highest weight for {@code key} first. */
+    public static List<String> order(String key, Collection<String> names) {
+        Map<String, Long> weights = new HashMap<>();
+        for (String name : names) {
+            weights.put(name, weight(key, name));
+        }
+        List<String> ordered = new ArrayList<>(names);
+        ordered.sort(
+                Comparator.<String>comparingLong(weights::get)
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()));
+        return ordered;
+    }
+
+    private static long weight(String key, String name) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < key.length(); i++) {
+            hash = (hash ^ key.charAt(i)) * FNV_PRIME;
+        }
+        hash = (hash ^ 0xff) * FNV_PRIME;
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.charAt(i)) * FNV_PRIME;
+        }
+        long z = (hash ^ (hash >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/daemon/Signals.java
+++ b/daemon/src/main/java/org/redwingladder/daemon/Signals.java
@@ -3,7 +3,7 @@
 import java.lang.reflect.Proxy;
 
 /** Receives the signals of the process. */
-final class Signals {
+public final class Signals {
     private Signals() {}
 
     /**
@@ -14,7 +14,7 @@
      * @param name the signal's name without {@code SIG}
      * @throws ReflectiveOperationException if the platform offers no signals
      */
-    static void handle(String name, Runnable receiver) throws ReflectiveOperationException {
+    public static void handle(String name, Runnable receiver) throws ReflectiveOperationException {
         Class<?> signals = Class.forName("sun.misc.Signal");
         Class<?> handlers = Class.forName("sun.misc.SignalHandler");
         Object handler =
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
@@ -0,0 +1,156 @@
+package org.redwingladder.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.http.Json;
+import org.redwingladder.http.JsonException;
+
+/** Reads and checks the configuration file of an entry host; reports all faults at once. */
+public final class EntryConfigReader {
+    private static final Pattern DURATION = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)(ms|s)");
+
+    private final JsonNode mRoot;
+    private final List<String> mFaults = new ArrayList<>();
+
+    /** Reports a configuration that cannot be used. */
+    public static final class InvalidConfigException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        InvalidConfigException(List<String> faults) {
+            super(String.join("; ", faults));
+        }
+    }
+
+    private EntryConfigReader(JsonNode root) {
+        mRoot = root;
+    }
+
+    /**
+     * Reads a configuration.
+     *
+     * @throws InvalidConfigException if the text is not JSON, or members are missing or mistyped
+     */
+    public static EntryConfig read(byte[] text) throws InvalidConfigException {
+        try {
+            return new EntryConfigReader(Json.tree(text)).config();
+        } catch (JsonException e) {
+            throw new InvalidConfigException(List.of("not JSON: " + e.getMessage()));
+        }
+    }
+
+    private EntryConfig config() throws InvalidConfigException {
+        String host = text("host");
+        String zone = text("zone");
+        Map<String, String> zones = zones();
+        if (!zone.isEmpty() && !zones.containsKey(zone)) {
+            mFaults.add("zone: '" + zone + "' is not one of regionOfZone");
+        }
+        EntryConfig config =
+                new EntryConfig(
+                        host,
+                        zone,
+                        zones,
+                        address("listen.clients"),
+                        address("listen.readiness"),
+                        address("listen.lookups"),
+                        address("listen.peers"),
+                        seeds(),
+                        address("store"),
+                        new EntryConfig.Bounds(
+                                millis("bounds.stop"),
+                                millis("bounds.lookupLifetime"),
+                                number("bounds.retryRatio"),
+                                number("bounds.retryAllowance"),
+                                millis("bounds.retryWindow")));
+        if (!mFaults.isEmpty()) {
+            throw new InvalidConfigException(mFaults);
+        }
+        return config;
+    }
+
+    private @Nullable JsonNode node(String path) {
+        JsonNode node = mRoot;
+        for (String name : path.split("\\.")) {
+            node = node == null ? null : node.get(name);
+        }
+        return node;
+    }
+
+    private String text(String path) {
+        JsonNode node = node(path);
+        if (node == null || !node.isTextual() || node.asText().isEmpty()) {
+            mFaults.add(path + ": expected a text, found " + node);
+            return "";
+        }
+        return node.asText();
+    }
+
+    private InetSocketAddress address(String path) {
+        String text = text(path);
+        try {
+            return Addresses.parse(text);
+        } catch (IllegalArgumentException e) {
+            mFaults.add(path + ": " + e.getMessage());
+            return InetSocketAddress.createUnresolved("invalid", 0);
+        }
+    }
+
+    private double number(String path) {
+        JsonNode node = node(path);
+        if (node == null || !node.isNumber() || node.asDouble() < 0) {
+            mFaults.add(path + ": expected a number from 0, found " + node);
+            return 0;
+        }
+        return node.asDouble();
+    }
+
+    private long millis(String path) {
+        String text = text(path);
+        Matcher match = DURATION.matcher(text);
+        if (!match.matches()) {
+            mFaults.add(
+                    path + ": expected a duration such as 1500ms or 2.5s, found '" + text + "'");
+            return 0;
+        }
+        double value = Double.parseDouble(match.group(1));
+        return Math.round(match.group(2).equals("s") ? value * 1000 : value);
+    }
+
+    private Map<String, String> zones() {
+        Map<String, String> zones = new TreeMap<>();
+        JsonNode node = node("regionOfZone");
+        if (node == null || !node.isObject() || node.isEmpty()) {
+            mFaults.add("regionOfZone: expected an object of zones, found " + node);
+            return zones;
+        }
+        for (Map.Entry<String, JsonNode> zone : node.properties()) {
+            zones.put(zone.getKey(), zone.getValue().asText());
+        }
+        return zones;
+    }
+
+    private List<InetSocketAddress> seeds() {
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        JsonNode node = node("seeds");
+        if (node == null || !node.isArray()) {
+            mFaults.add("seeds: expected a list of addresses, found " + node);
+            return seeds;
+        }
+        for (JsonNode seed : node) {
+            try {
+                seeds.add(Addresses.parse(seed.asText()));
+            } catch (IllegalArgumentException e) {
+                mFaults.add("seeds: " + e.getMessage());
+            }
+        }
+        return seeds;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryListener.java
@@ -0,0 +1,108 @@
+package org.redwingladder.entry;
+
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.steering.ClientLimits;
+import org.redwingladder.supervisor.Part;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** Listens on one address and applies the limits on clients of the settings in force. */
+final class EntryListener implements Part {
+    private static final int BACKLOG = 1024;
+    private static final int MAX_HEADERS = 200;
+
+    /** Limits until settings are known. */
+    private static final ClientLimits FIRST_LIMITS =
+            new ClientLimits(16 * 1024, 64L << 20, 5_000, 60_000);
+
+    /** Clients may use a connection right up to the limit; this side closes it later. */
+    private static final double IDLE_MARGIN = 1.5;
+
+    private final String mName;
+    private final InetSocketAddress mAddress;
+    private final XnioWorker mWorker;
+    private final ByteBufferPool mBuffers;
+    private final HttpHandler mHandler;
+    private @Nullable HttpOpenListener mListener;
+    private @Nullable AcceptingChannel<? extends StreamConnection> mServer;
+
+    EntryListener(
+            String name,
+            InetSocketAddress address,
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            HttpHandler handler) {
+        mName = name;
+        mAddress = address;
+        mWorker = worker;
+        mBuffers = buffers;
+        mHandler = handler;
+    }
+
+    @Override
+    public String name() {
+        return mName + " listener";
+    }
+
+    @Override
+    public void start(Failures failures) throws IOException {
+        HttpOpenListener listener = new HttpOpenListener(mBuffers, options(FIRST_LIMITS));
+        listener.setRootHandler(mHandler);
+        OptionMap socketOptions =
+                OptionMap.builder()
+                        .set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.BACKLOG, BACKLOG)
+                        .getMap();
+        AcceptingChannel<? extends StreamConnection> server =
+                mWorker.createStreamConnectionServer(
+                        mAddress, ChannelListeners.openListenerAdapter(listener), socketOptions);
+        server.resumeAccepts();
+        mListener = listener;
+        mServer = server;
+    }
+
+    private static OptionMap options(ClientLimits limits) {
+        return OptionMap.builder()
+                .set(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes())
+                .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, limits.maxBodyBytes())
+                .set(
+                        UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                        Math.toIntExact(limits.headerTimeoutMillis()))
+                .set(
+                        UndertowOptions.NO_REQUEST_TIMEOUT,
+                        (int) Math.min(1 << 30, limits.idleTimeoutMillis() * IDLE_MARGIN))
+                .set(UndertowOptions.DECODE_URL, false)
+                .set(UndertowOptions.ENABLE_HTTP2, false)
+                .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .getMap();
+    }
+
+    /** Applies limits to connections that are opened from now on. */
+    void limits(ClientLimits limits) {
+        if (mListener != null) {
+            mListener.setUndertowOptions(options(limits));
+        }
+    }
+
+    @Override
+    public void stop() {
+        if (mServer != null) {
+            IoUtils.safeClose(mServer);
+            mServer = null;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -0,0 +1,288 @@
+package org.redwingladder.entry;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.control.MetricsText;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.http.CallRequest;
+import org.redwingladder.http.HttpCaller;
+import org.redwingladder.http.Json;
+import org.redwingladder.http.JsonException;
+import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.steering.HostEntry;
+import org.redwingladder.steering.MemberTable;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Exchanges with other hosts who is alive and how new the tables are, and copies tables from hosts
+ * that are ahead.
+ */
+final class PeerExchange implements HttpHandler {
+    private static final String EXCHANGE = "/peer/exchange";
+    private static final String COPY = "/peer/copy";
+    private static final String METRICS = "/metrics";
+
+    /** Four exchanges pass before a host of the same zone counts as silent. */
+    private static final long PERIOD_MILLIS = 600;
+
+    /** Each n-th exchange goes to any zone; the others stay in the zone. */
+    private static final int ANY_ZONE_EACH = 3;
+
+    /** Longer than a round trip between regions and a pause of a busy host. */
+    private static final long CALL_MILLIS = 1_000;
+
+    private static final int MAX_MESSAGE_BYTES = 8 << 20;
+
+    private final EntryConfig mConfig;
+    private final MemberTable mMembers;
+    private final StateKeeper mState;
+    private final HttpCaller mCaller;
+    private final XnioIoThread mThread;
+    private final EventLog mLog;
+    private final EntryMetrics mMetrics;
+    private final Set<String> mUnreachable = new HashSet<>();
+    private Self mSelf = () -> null;
+    private Restart mRestart = started -> {};
+    private XnioExecutor.@Nullable Key mTimer;
+    private long mTicks;
+    private boolean mHeardAny;
+    private boolean mCopying;
+
+    /** Returns what this host says of itself. */
+    interface Self {
+        @Nullable HostEntry next();
+    }
+
+    /** Learns that others know a later start of this host, as after a step of its clock. */
+    interface Restart {
+        void laterStart(long startedMillis);
+    }
+
+    PeerExchange(
+            EntryConfig config,
+            MemberTable members,
+            StateKeeper state,
+            HttpCaller caller,
+            XnioIoThread thread,
+            EventLog log,
+            EntryMetrics metrics) {
+        mConfig = config;
+        mMembers = members;
+        mState = state;
+        mCaller = caller;
+        mThread = thread;
+        mLog = log;
+        mMetrics = metrics;
+    }
+
+    void start(Self self, Restart restart) {
+        mSelf = self;
+        mRestart = restart;
+        for (InetSocketAddress seed : mConfig.seeds()) {
+            if (!seed.equals(mConfig.peers())) {
+                exchange(Addresses.format(seed));
+            }
+        }
+        tick();
+    }
+
+    void stop() {
+        if (mTimer != null) {
+            mTimer.remove();
+        }
+    }
+
+    /** Returns whether any other host was heard of since the start. */
+    boolean heardAny() {
+        return mHeardAny;
+    }
+
+    /** Tells all hosts of the zone at once what this host says of itself. */
+    void announce() {
+        long now = System.nanoTime();
+        refreshSelf(now);
+        for (HostEntry host : mMembers.alive(now)) {
+            if (host.zone().equals(mConfig.zone()) && !host.name().equals(mConfig.host())) {
+                exchange(host.peerAddress());
+            }
+        }
+    }
+
+    private void tick() {
+        long now = System.nanoTime();
+        refreshSelf(now);
+        mMembers.expire(now);
+        mTicks++;
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        HostEntry near = mMembers.partner(mConfig.zone(), now, random);
+        if (near != null) {
+            exchange(near.peerAddress());
+        }
+        if (mTicks % ANY_ZONE_EACH == 0 || near == null) {
+            HostEntry any = mMembers.partner(null, now, random);
+            if (any != null) {
+                exchange(any.peerAddress());
+            } else if (!mConfig.seeds().isEmpty()) {
+                exchange(
+                        Addresses.format(
+                                mConfig.seeds().get(random.nextInt(mConfig.seeds().size()))));
+            }
+        }
+        long jitter = random.nextLong(PERIOD_MILLIS / 4);
+        mTimer =
+                mThread.executeAfter(
+                        this::tick, PERIOD_MILLIS * 7 / 8 + jitter, TimeUnit.MILLISECONDS);
+    }
+
+    private void refreshSelf(long now) {
+        HostEntry self = mSelf.next();
+        if (self != null) {
+            mMembers.self(self, now);
+        }
+    }
+
+    private PeerMessages.Exchange message() {
+        return new PeerMessages.Exchange(
+                mConfig.host(),
+                mMembers.entries(System.nanoTime()),
+                mState.image(StoreTable.CONTROL).changed(),
+                mState.image(StoreTable.SERVERS).changed());
+    }
+
+    private void exchange(String address) {
+        call(
+                address,
+                EXCHANGE,
+                message(),
+                body -> received(address, Json.read(body, PeerMessages.Exchange.class)));
+    }
+
+    private interface BodyReader {
+        void read(byte[] body) throws JsonException;
+    }
+
+    private void call(String address, String path, Object message, BodyReader reader) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_MILLIS);
+        CallRequest request =
+                CallRequest.of(Methods.POST, Addresses.parse(address), path, deadline)
+                        .json(message)
+                        .maxWholeBytes(MAX_MESSAGE_BYTES);
+        mCaller.ask(request)
+                .whenComplete(
+                        (answer, cause) ->
+                                mThread.execute(() -> ended(address, answer, cause, reader)));
+    }
+
+    private void ended(
+            String address,
+            @Nullable WholeAnswer answer,
+            @Nullable Throwable cause,
+            BodyReader reader) {
+        mCopying = false;
+        String fault = cause == null ? null : String.valueOf(cause.getMessage());
+        if (answer != null && answer.status() != 200) {
+            fault = "status " + answer.status();
+        } else if (answer != null) {
+            try {
+                reader.read(answer.body());
+            } catch (JsonException e) {
+                fault = e.getMessage();
+            }
+        }
+        if (fault == null) {
+            if (mUnreachable.remove(address)) {
+                mLog.event("peers", "regained").with("address", address).write();
+            }
+        } else {
+            mMetrics.count("peers.failed");
+            if (mUnreachable.add(address)) {
+                mLog.event("peers", "lost").with("address", address).with("cause", fault).write();
+            }
+        }
+    }
+
+    private void received(String address, PeerMessages.Exchange message) {
+        mHeardAny = true;
+        for (HostEntry host : message.hosts()) {
+            if (host.name().equals(mConfig.host())) {
+                mRestart.laterStart(host.startedMillis());
+            }
+        }
+        mMembers.merge(message.hosts(), System.nanoTime());
+        boolean behind =
+                message.controlChanged() > mState.image(StoreTable.CONTROL).position()
+                        || message.serversChanged() > mState.image(StoreTable.SERVERS).position();
+        if (behind && !mCopying) {
+            mCopying = true;
+            call(
+                    address,
+                    COPY,
+                    new PeerMessages.CopyRequest(
+                            mState.image(StoreTable.CONTROL).position(),
+                            mState.image(StoreTable.SERVERS).position()),
+                    body -> adopt(Json.read(body, PeerMessages.Copies.class)));
+        }
+    }
+
+    private void adopt(PeerMessages.Copies copies) {
+        for (PeerMessages.TableCopy copy : copies.tables()) {
+            mState.adopt(copy.table(), copy.rows(), copy.position(), copy.changed());
+        }
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (path.equals(METRICS)) {
+            Responses.text(exchange, 200, MetricsText.text(mMetrics.registry()));
+        } else if (path.equals(EXCHANGE) || path.equals(COPY)) {
+            exchange.getRequestReceiver()
+                    .receiveFullBytes((same, body) -> answer(exchange, path, body));
+        } else {
+            Responses.text(exchange, 404, "unknown path; allowed: " + METRICS + "\n");
+        }
+    }
+
+    private void answer(HttpServerExchange exchange, String path, byte[] body) {
+        try {
+            if (path.equals(EXCHANGE)) {
+                PeerMessages.Exchange message = Json.read(body, PeerMessages.Exchange.class);
+                String address = addressOf(message);
+                if (address != null) {
+                    received(address, message);
+                }
+                Responses.json(exchange, Json.write(message()));
+            } else {
+                PeerMessages.CopyRequest asked = Json.read(body, PeerMessages.CopyRequest.class);
+                List<PeerMessages.TableCopy> copies =
+                        mState.copies(
+                                Map.of(
+                                        StoreTable.CONTROL, asked.controlPosition(),
+                                        StoreTable.SERVERS, asked.serversPosition()));
+                Responses.json(exchange, Json.write(new PeerMessages.Copies(copies)));
+            }
+        } catch (JsonException e) {
+            mLog.event("peers", "malformed").with("cause", e.getMessage()).write();
+            Responses.text(exchange, 400, "malformed message: " + e.getMessage() + "\n");
+        }
+    }
+
+    private static @Nullable String addressOf(PeerMessages.Exchange message) {
+        for (HostEntry host : message.hosts()) {
+            if (host.name().equals(message.from())) {
+                return host.peerAddress();
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -0,0 +1,40 @@
+package org.redwingladder.entry;
+
+import java.util.List;
+import org.redwingladder.steering.HostEntry;
+
+/** Messages between entry hosts. */
+final class PeerMessages {
+    private PeerMessages() {}
+
+    /**
+     * Tells what a host knows of the hosts, and how far its copies of the tables are.
+     *
+     * @param from the sender's name
+     * @param hosts the hosts that were heard of lately
+     * @param controlChanged the version of the last known change of the control table
+     * @param serversChanged the version of the last known change of the servers table
+     */
+    record Exchange(String from, List<HostEntry> hosts, long controlChanged, long serversChanged) {}
+
+    /**
+     * Holds a copy of a table.
+     *
+     * @param table the table
+     * @param position the version up to which the copy is complete
+     * @param changed the version of the last change
+     * @param rows all rows
+     */
+    record TableCopy(StoreTable table, long position, long changed, List<StoreRow> rows) {}
+
+    /**
+     * Asks for tables that are newer than the sender's.
+     *
+     * @param controlPosition the sender's position in the control table
+     * @param serversPosition the sender's position in the servers table
+     */
+    record CopyRequest(long controlPosition, long serversPosition) {}
+
+    /** Holds the tables that were asked for. */
+    record Copies(List<TableCopy> tables) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -0,0 +1,471 @@
+package org.redwingladder.entry;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.http.AnswerHandler;
+import org.redwingladder.http.AnswerLostException;
+import org.redwingladder.http.Call;
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.CallRequest;
+import org.redwingladder.http.StreamedAnswer;
+import org.redwingladder.http.WholeAnswer;
+import org.redwingladder.steering.Backend;
+import org.redwingladder.steering.Placement;
+import org.redwingladder.steering.Placer;
+import org.redwingladder.steering.Route;
+import org.redwingladder.steering.SendResult;
+import org.xnio.XnioExecutor;
+
+/**
+ * Carries one request from its arrival to its answer.
+ *
+ * <p>A request that must not repeat is sent again only if it certainly has not run. Other requests
+ * are sent again within the route's attempts and the service's budget, also while the first send is
+ * still out if that takes unusually long.
+ */
+final class RequestFlow {
+    /** A connection within a region opens in milliseconds, across regions within 100 ms. */
+    private static final long CONNECT_NANOS = 300_000_000L;
+
+    /** Lets an answer that was ready at the deadline cross the network. */
+    private static final long ANSWER_SLACK_NANOS = 80_000_000L;
+
+    /** A send that takes this many times longer than expected is likely to be a straggler. */
+    private static final double HEDGE_FACTOR = 2.2;
+
+    /** A hedge goes only to a server that would start it nearly at once. */
+    private static final double HEDGE_MAX_WAIT = 0.15;
+
+    /** Sends that did not reach a server are tried elsewhere this often. */
+    private static final int MAX_UNREACHABLE = 3;
+
+    /** Answers up to this size are checked whole before the first byte goes to the client. */
+    private static final int MAX_WHOLE_BYTES = 4 << 20;
+
+    private static final long MIN_HEDGE_NANOS = 20_000_000L;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final FlowContext mContext;
+    private final HttpServerExchange mExchange;
+    private final String mPath;
+    private final Route mRoute;
+    private final String mService;
+    private final WireFormat.ClientHeaders mClient;
+    private final byte[] mBody;
+    private final long mArrivedNanos;
+    private final long mUntilNanos;
+    private final Set<Backend> mTried = new HashSet<>();
+    private final List<Attempt> mOpen = new ArrayList<>();
+    private int mMayHaveRun;
+    private int mReached;
+    private int mUnreachable;
+    private boolean mDone;
+    private SendResult mLastResult = SendResult.FULL;
+    private XnioExecutor.@Nullable Key mHedgeTimer;
+
+    RequestFlow(
+            FlowContext context,
+            HttpServerExchange exchange,
+            FlowContext.Arrival arrival,
+            byte[] body) {
+        mContext = context;
+        mExchange = exchange;
+        mPath = arrival.path();
+        mRoute = arrival.route();
+        mService = arrival.service();
+        mClient = arrival.client();
+        mArrivedNanos = arrival.arrivedNanos();
+        mUntilNanos = arrival.untilNanos();
+        mBody = body;
+    }
+
+    void start() {
+        mContext.steering().countRequest(mService);
+        switch (place()) {
+            case Placement.Send send -> {
+                send(send);
+                scheduleHedge(send);
+            }
+            case Placement.Refuse refuse ->
+                    refuse(refuse.reason().name(), refuse.retryAfterMillis());
+        }
+    }
+
+    /** Stops all work for a client that has gone. */
+    void clientGone() {
+        if (!mDone) {
+            mContext.metrics().count("request.client-gone");
+            finish();
+        }
+    }
+
+    /** Ends the request because the process stops. */
+    void processEnds() {
+        if (!mDone) {
+            fail(mMayHaveRun > 0 ? 504 : 503, "the host stops");
+        }
+    }
+
+    private Placement place() {
+        return mContext.steering()
+                .place(
+                        new Placer.Request(
+                                mRoute, mService, mClient.objectKey(), mTried, mUntilNanos));
+    }
+
+    private void send(Placement.Send placement) {
+        Attempt attempt = new Attempt(placement);
+        mTried.add(placement.server());
+        mOpen.add(attempt);
+        attempt.send();
+    }
+
+    private void scheduleHedge(Placement.Send first) {
+        if (!mRoute.kind().repeatable() || mRoute.maxAttempts() < 2 || mDone) {
+            return;
+        }
+        double millis = HEDGE_FACTOR * (first.waitMillis() + first.serviceMillis());
+        long delay = Math.max(MIN_HEDGE_NANOS, (long) (millis * NANOS_PER_MILLI));
+        if (System.nanoTime() + delay - mUntilNanos >= 0) {
+            return;
+        }
+        mHedgeTimer =
+                mExchange.getIoThread().executeAfter(this::hedge, delay, TimeUnit.NANOSECONDS);
+    }
+
+    private void hedge() {
+        if (mDone || mOpen.size() != 1 || mReached >= mRoute.maxAttempts()) {
+            return;
+        }
+        if (place() instanceof Placement.Send send
+                && send.waitMillis() <= HEDGE_MAX_WAIT * send.serviceMillis()
+                && mContext.steering().tryRepeat(mService)) {
+            repeated("slow");
+            send(send);
+        }
+    }
+
+    private void repeated(String reason) {
+        mContext.metrics().count("request.repeat." + reason);
+        mContext.log()
+                .event("request", "repeat")
+                .with("id", mClient.requestId())
+                .with("service", mService)
+                .with("reason", reason)
+                .with("millis", elapsedMillis())
+                .write();
+    }
+
+    /** Goes on after a send that brought no answer for the client. */
+    private void again(SendResult result) {
+        mLastResult = result;
+        if (mDone || !mOpen.isEmpty()) {
+            return;
+        }
+        if (result != SendResult.TIMED_OUT && maySendAgain(result)) {
+            if (place() instanceof Placement.Send send && payFor(result)) {
+                repeated(result.name());
+                send(send);
+                return;
+            }
+        }
+        giveUp(result);
+    }
+
+    private boolean maySendAgain(SendResult result) {
+        if (mUntilNanos - System.nanoTime() <= 0 || mReached >= mRoute.maxAttempts()) {
+            return false;
+        }
+        if (result == SendResult.UNREACHABLE && mUnreachable >= MAX_UNREACHABLE) {
+            return false;
+        }
+        return mMayHaveRun == 0 || mRoute.kind().repeatable();
+    }
+
+    private boolean payFor(SendResult result) {
+        return result == SendResult.UNREACHABLE || mContext.steering().tryRepeat(mService);
+    }
+
+    private void giveUp(SendResult result) {
+        if (mMayHaveRun == 0) {
+            refuse(result.name(), (long) mContext.steering().times().millis(mService, 200));
+        } else if (result == SendResult.TIMED_OUT) {
+            fail(504, "no answer in time");
+        } else {
+            fail(502, "the answer was lost: " + result);
+        }
+    }
+
+    private void refuse(String reason, long retryAfterMillis) {
+        mContext.metrics().count("request.refused." + reason);
+        mContext.log()
+                .event("request", "refused")
+                .with("id", mClient.requestId())
+                .with("route", mRoute.name())
+                .with("service", mService)
+                .with("reason", reason)
+                .with("tried", mTried.size())
+                .with("millis", elapsedMillis())
+                .write();
+        finish();
+        // Clients that are refused together should not come back together.
+        double spread = 0.75 + 0.75 * ThreadLocalRandom.current().nextDouble();
+        mContext.wire()
+                .retryAfter(mExchange.getResponseHeaders(), (long) (retryAfterMillis * spread));
+        mContext.respond(mExchange, 503, "not run: " + reason + "\n");
+    }
+
+    private void fail(int status, String reason) {
+        mContext.metrics().count("request.failed." + status);
+        mContext.log()
+                .event("request", "failed")
+                .with("id", mClient.requestId())
+                .with("route", mRoute.name())
+                .with("service", mService)
+                .with("status", status)
+                .with("reason", reason)
+                .with("last", mLastResult)
+                .with("server", names())
+                .with("millis", elapsedMillis())
+                .write();
+        finish();
+        mContext.respond(mExchange, status, reason + "\n");
+    }
+
+    private String names() {
+        StringBuilder names = new StringBuilder();
+        for (Backend backend : mTried) {
+            names.append(names.isEmpty() ? "" : ",").append(backend.entry().id());
+        }
+        return names.toString();
+    }
+
+    private long elapsedMillis() {
+        return (System.nanoTime() - mArrivedNanos) / 1_000_000;
+    }
+
+    /** Ends the flow and cancels what is still out. */
+    private void finish() {
+        mDone = true;
+        if (mHedgeTimer != null) {
+            mHedgeTimer.remove();
+        }
+        for (Attempt attempt : new ArrayList<>(mOpen)) {
+            attempt.cancel();
+        }
+        mContext.ended(this);
+    }
+
+    private void answered(Attempt attempt, int status) {
+        long millis = elapsedMillis();
+        mContext.metrics().answered(mService, millis);
+        if (mContext.sampled()) {
+            mContext.log()
+                    .event("request", "answered")
+                    .with("id", mClient.requestId())
+                    .with("route", mRoute.name())
+                    .with("server", attempt.mBackend.entry().id())
+                    .with("status", status)
+                    .with("wait", (long) attempt.mPlacement.waitMillis())
+                    .with("work", (long) attempt.mPlacement.serviceMillis())
+                    .with("millis", millis)
+                    .write();
+        }
+    }
+
+    /** Carries one send. */
+    private final class Attempt implements AnswerHandler {
+        private final Placement.Send mPlacement;
+        private final Backend mBackend;
+        private final long mSentNanos = System.nanoTime();
+        private @Nullable Call mCall;
+        private boolean mEnded;
+
+        Attempt(Placement.Send placement) {
+            mPlacement = placement;
+            mBackend = placement.server();
+        }
+
+        void send() {
+            mBackend.sent(mSentNanos);
+            CallRequest request =
+                    CallRequest.of(
+                                    mExchange.getRequestMethod(),
+                                    Addresses.parse(mBackend.entry().address()),
+                                    mPath,
+                                    mUntilNanos + ANSWER_SLACK_NANOS)
+                            .connectDeadlineNanos(mSentNanos + CONNECT_NANOS)
+                            .mayEndWithConnection()
+                            .maxWholeBytes(MAX_WHOLE_BYTES);
+            long left = Math.max(1, (mUntilNanos - mSentNanos) / 1_000_000);
+            mContext.wire()
+                    .toServer(
+                            mExchange.getRequestHeaders(),
+                            request.headers(),
+                            mBackend.entry().id(),
+                            left);
+            if (mBody.length > 0 || mExchange.getRequestHeaders().contains("Content-Length")) {
+                request.body(mBody);
+            }
+            String id = mClient.requestId();
+            if (id != null) {
+                request.requestId(mContext.wire().requestIdHeader(), id);
+            }
+            mReached++;
+            mMayHaveRun++;
+            Call call = mContext.caller().send(request, this);
+            mCall = call;
+            if (mEnded && mDone) {
+                call.cancel();
+            }
+        }
+
+        void cancel() {
+            end(SendResult.CANCELLED);
+            if (mCall != null) {
+                mCall.cancel();
+            }
+        }
+
+        private boolean end(SendResult result) {
+            if (mEnded) {
+                return false;
+            }
+            mEnded = true;
+            mOpen.remove(this);
+            mBackend.ended(
+                    result,
+                    mSentNanos,
+                    mPlacement.waitMillis() + mPlacement.serviceMillis(),
+                    System.nanoTime());
+            mContext.metrics().count("send." + result);
+            return true;
+        }
+
+        @Override
+        public void whole(WholeAnswer answer) {
+            SendResult result = judge(answer.status(), answer.headers());
+            if (!end(result)) {
+                return;
+            }
+            if (result == SendResult.ANSWERED) {
+                observe();
+                deliver(answer);
+            } else if (result == SendResult.FAILED && !canImprove()) {
+                deliver(answer);
+            } else {
+                again(result);
+            }
+        }
+
+        /** Returns whether another send may bring a better answer than the server's failure. */
+        private boolean canImprove() {
+            return !mOpen.isEmpty()
+                    || (mRoute.kind().repeatable()
+                            && maySendAgain(SendResult.FAILED)
+                            && place() instanceof Placement.Send);
+        }
+
+        private SendResult judge(int status, HeaderMap headers) {
+            WireFormat.ServerHeaders said = mContext.wire().server(status, headers);
+            if (said.load() != null) {
+                mBackend.report(said.load(), System.nanoTime());
+            }
+            if (said.wrongServer() || said.notRun()) {
+                mMayHaveRun--;
+                return said.wrongServer() ? SendResult.MISDIRECTED : SendResult.FULL;
+            }
+            if (!said.genuine()) {
+                return SendResult.LOST;
+            }
+            return status >= 500 ? SendResult.FAILED : SendResult.ANSWERED;
+        }
+
+        private void observe() {
+            if (mPlacement.waitMillis() <= 0) {
+                mContext.steering()
+                        .times()
+                        .observed(
+                                mService,
+                                (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI,
+                                mRoute.objectiveMillis());
+            }
+        }
+
+        private void deliver(WholeAnswer answer) {
+            if (mDone) {
+                return;
+            }
+            answered(this, answer.status());
+            finish();
+            mContext.deliver(mExchange, answer);
+        }
+
+        @Override
+        public void streamed(StreamedAnswer answer) {
+            SendResult result = judge(answer.status(), answer.headers());
+            if (mDone || mEnded || result != SendResult.ANSWERED) {
+                answer.discard(new Transfer());
+                if (end(result)) {
+                    again(result);
+                }
+                return;
+            }
+            // The answer goes to the client from here on; other sends are of no use.
+            mOpen.remove(this);
+            mContext.deliver(mExchange, answer, new Transfer());
+            answered(this, answer.status());
+        }
+
+        @Override
+        public void failed(CallException cause) {
+            SendResult result = result(cause);
+            if (cause.neverSent()) {
+                mMayHaveRun--;
+                mReached--;
+                mUnreachable++;
+            }
+            if (end(result)) {
+                again(result);
+            }
+        }
+
+        private SendResult result(CallException cause) {
+            if (cause.neverSent()) {
+                return SendResult.UNREACHABLE;
+            }
+            return cause instanceof AnswerLostException lost
+                            && lost.reason() == AnswerLostException.Cause.DEADLINE
+                    ? SendResult.TIMED_OUT
+                    : SendResult.LOST;
+        }
+
+        private final class Transfer implements StreamedAnswer.TransferHandler {
+            @Override
+            public void transferred(long bytes) {
+                end(SendResult.ANSWERED);
+                finishOnce();
+            }
+
+            @Override
+            public void failed(CallException cause) {
+                end(SendResult.LOST);
+                finishOnce();
+            }
+
+            private void finishOnce() {
+                if (!mDone) {
+                    finish();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
@@ -0,0 +1,250 @@
+package org.redwingladder.entry;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.steering.LapseHold;
+import org.redwingladder.steering.ServerEntry;
+import org.redwingladder.steering.SteeringSettings;
+import org.xnio.XnioIoThread;
+
+/**
+ * Keeps what the store says and tells the changes.
+ *
+ * <p>Rows come from the store or, while the store turns this host away, from other hosts. A row
+ * that cannot be read is logged once and has no effect; settings never go back.
+ */
+final class StateKeeper implements TableFollower.Sink {
+    private static final long AFTER_HOLD_MILLIS = 2_050;
+
+    private final RowCodec mCodec;
+    private final XnioIoThread mThread;
+    private final EventLog mLog;
+    private final Receiver mReceiver;
+    private final Map<StoreTable, TableImage> mImages = new EnumMap<>(StoreTable.class);
+    private final Map<StoreTable, TableFollower> mFollowers = new EnumMap<>(StoreTable.class);
+    private final Map<String, Decoded> mServers = new HashMap<>();
+    private final Map<String, Long> mReported = new HashMap<>();
+    private final LapseHold mHold = LapseHold.create();
+    private @Nullable SteeringSettings mSettings;
+    private Set<String> mEvacuated = Set.of();
+    private boolean mServersKnown;
+
+    /** Receives changes of what is believed. */
+    interface Receiver {
+        void settings(SteeringSettings settings);
+
+        void evacuated(Set<String> zones);
+
+        void servers(Map<String, ServerEntry> servers);
+    }
+
+    private record Decoded(long version, @Nullable ServerEntry entry) {}
+
+    StateKeeper(RowCodec codec, XnioIoThread thread, EventLog log, Receiver receiver) {
+        mCodec = codec;
+        mThread = thread;
+        mLog = log;
+        mReceiver = receiver;
+        mImages.put(StoreTable.CONTROL, new TableImage());
+        mImages.put(StoreTable.SERVERS, new TableImage());
+    }
+
+    void start(PlatformStore store) {
+        for (StoreTable table : mImages.keySet()) {
+            TableFollower follower = new TableFollower(table, store, mThread, this, mLog);
+            mFollowers.put(table, follower);
+            follower.start();
+        }
+    }
+
+    void stop() {
+        mFollowers.values().forEach(TableFollower::stop);
+    }
+
+    /** Returns whether requests can be routed. */
+    boolean ready() {
+        return mSettings != null && mServersKnown;
+    }
+
+    @Nullable SteeringSettings settings() {
+        return mSettings;
+    }
+
+    TableImage image(StoreTable table) {
+        return mImages.get(table);
+    }
+
+    boolean healthy(StoreTable table) {
+        TableFollower follower = mFollowers.get(table);
+        return follower != null && follower.healthy();
+    }
+
+    @Override
+    public boolean replace(StoreTable table, List<StoreRow> rows, long position) {
+        // Removals before the reading are not listed, so that the reading's position stands in.
+        if (!mImages.get(table).replace(rows, position, position)) {
+            return false;
+        }
+        changed(table);
+        return true;
+    }
+
+    @Override
+    public void changes(StoreTable table, List<StoreRow> rows, long position) {
+        mImages.get(table).apply(rows, position);
+        if (!rows.isEmpty()) {
+            changed(table);
+        }
+    }
+
+    @Override
+    public void healthy(StoreTable table, boolean healthy) {
+        if (table != StoreTable.SERVERS) {
+            return;
+        }
+        if (healthy) {
+            mHold.storeAnswers(System.nanoTime());
+        } else {
+            mHold.storeLost();
+        }
+    }
+
+    /** Takes over another host's copy of a table that is ahead of this host's. */
+    void adopt(StoreTable table, List<StoreRow> rows, long position, long changed) {
+        TableImage image = mImages.get(table);
+        if (position <= image.position() || !image.replace(rows, position, changed)) {
+            return;
+        }
+        mLog.event("state", "adopted").with("table", table).with("position", position).write();
+        changed(table);
+        if (healthy(table)) {
+            // The waiting call is silent or behind; a new one starts from what is known now.
+            mFollowers.get(table).follow(position);
+        }
+    }
+
+    private void changed(StoreTable table) {
+        if (table == StoreTable.CONTROL) {
+            control();
+        } else {
+            servers();
+        }
+    }
+
+    private void control() {
+        Set<String> evacuated = new HashSet<>();
+        for (StoreRow row : mImages.get(StoreTable.CONTROL).rows()) {
+            byte[] value = row.value();
+            if (value == null) {
+                continue;
+            }
+            try {
+                switch (mCodec.control(row.key(), value)) {
+                    case RowCodec.ControlRow.Settings read -> settings(read.settings());
+                    case RowCodec.ControlRow.Evacuation read -> evacuated.add(read.zone());
+                    case RowCodec.ControlRow.Other other -> {}
+                }
+            } catch (RowCodec.MalformedRowException e) {
+                malformed(row, e);
+            }
+        }
+        if (!evacuated.equals(mEvacuated)) {
+            mEvacuated = evacuated;
+            mLog.event("state", "evacuated").with("zones", evacuated).write();
+            mReceiver.evacuated(evacuated);
+        }
+    }
+
+    private void settings(SteeringSettings settings) {
+        SteeringSettings known = mSettings;
+        if (known != null && settings.version() <= known.version()) {
+            return;
+        }
+        mSettings = settings;
+        mLog.event("state", "settings")
+                .with("version", settings.version())
+                .with("routes", settings.routes().size())
+                .write();
+        mReceiver.settings(settings);
+    }
+
+    private void malformed(StoreRow row, RowCodec.MalformedRowException cause) {
+        Long reported = mReported.put(row.key(), row.version());
+        if (reported == null || reported != row.version()) {
+            mLog.event("state", "malformed-row")
+                    .with("key", row.key())
+                    .with("version", row.version())
+                    .with("cause", cause.getMessage())
+                    .write();
+        }
+    }
+
+    private void servers() {
+        long now = System.nanoTime();
+        Map<String, ServerEntry> registered = new HashMap<>();
+        List<StoreRow> rows = mImages.get(StoreTable.SERVERS).rows();
+        Set<String> keys = new HashSet<>();
+        for (StoreRow row : rows) {
+            keys.add(row.key());
+            Decoded decoded = mServers.get(row.key());
+            if (decoded == null || decoded.version() != row.version()) {
+                decoded = new Decoded(row.version(), decode(row, now));
+                mServers.put(row.key(), decoded);
+            }
+            ServerEntry entry = decoded.entry();
+            if (entry != null) {
+                registered.put(entry.id(), entry);
+            }
+        }
+        mServers.keySet().retainAll(keys);
+        mServersKnown = true;
+        mReceiver.servers(mHold.update(registered, now));
+        if (mHold.holdsAny()) {
+            mLog.event("state", "lapsed-servers-held").write();
+            mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void releaseHeld() {
+        if (mHold.holdsAny()) {
+            mReceiver.servers(mHold.current(System.nanoTime()));
+        }
+        if (mHold.holdsAny()) {
+            mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private @Nullable ServerEntry decode(StoreRow row, long now) {
+        byte[] value = row.value();
+        if (value == null) {
+            return null;
+        }
+        try {
+            return mCodec.server(row.key(), value, now);
+        } catch (RowCodec.MalformedRowException e) {
+            malformed(row, e);
+            return null;
+        }
+    }
+
+    /** Returns the tables as they are passed on to other hosts. */
+    List<PeerMessages.TableCopy> copies(Map<StoreTable, Long> positions) {
+        List<PeerMessages.TableCopy> copies = new ArrayList<>();
+        mImages.forEach(
+                (table, image) -> {
+                    if (image.position() > positions.getOrDefault(table, -1L)) {
+                        copies.add(
+                                new PeerMessages.TableCopy(
+                                        table, image.position(), image.changed(), image.rows()));
+                    }
+                });
+        return copies;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -0,0 +1,142 @@
+package org.redwingladder.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.redwingladder.steering.Backend;
+import org.redwingladder.steering.BackendSet;
+import org.redwingladder.steering.HostEntry;
+import org.redwingladder.steering.MemberTable;
+import org.redwingladder.steering.Placement;
+import org.redwingladder.steering.Placer;
+import org.redwingladder.steering.Rendezvous;
+import org.redwingladder.steering.RetryShare;
+import org.redwingladder.steering.Route;
+import org.redwingladder.steering.RouteTable;
+import org.redwingladder.steering.ServerEntry;
+import org.redwingladder.steering.ServiceTimes;
+import org.redwingladder.steering.SplitChooser;
+import org.redwingladder.steering.SteeringSettings;
+
+/** Applies what is believed to the decisions that requests need. Runs on the I/O thread. */
+final class Steering implements StateKeeper.Receiver {
+    /** A round trip between regions; the deployments of today have 40 to 70 ms. */
+    private static final double CROSS_REGION_MILLIS = 50;
+
+    /** The hosts that feed a cold server, as {@code ColdGate} assumes. */
+    private static final int COLD_FEEDERS = 3;
+
+    private final EntryConfig mConfig;
+    private final MemberTable mMembers;
+    private final EventLog mLog;
+    private final BackendSet mBackends;
+    private final ServiceTimes mTimes = new ServiceTimes();
+    private final SplitChooser mSplits = new SplitChooser();
+    private final Placer mPlacer;
+    private final Map<String, RetryShare> mRetries = new HashMap<>();
+    private @Nullable RouteTable mRoutes;
+    private java.util.function.Consumer<SteeringSettings> mOnSettings = settings -> {};
+
+    Steering(EntryConfig config, MemberTable members, EventLog log) {
+        mConfig = config;
+        mMembers = members;
+        mLog = log;
+        mBackends = BackendSet.create(config.regionOfZone());
+        mPlacer =
+                Placer.create(
+                        config.region(),
+                        mBackends,
+                        mTimes,
+                        (from, to) -> from.equals(to) ? 0 : CROSS_REGION_MILLIS);
+        mPlacer.feeders(this::feeds);
+    }
+
+    void onSettings(java.util.function.Consumer<SteeringSettings> receiver) {
+        mOnSettings = receiver;
+    }
+
+    private boolean feeds(String serverId) {
+        List<String> names = new ArrayList<>();
+        for (HostEntry host : mMembers.alive(System.nanoTime())) {
+            if (host.serving()) {
+                names.add(host.name());
+            }
+        }
+        List<String> order = Rendezvous.order(serverId, names);
+        int rank = order.indexOf(mConfig.host());
+        return rank >= 0 && rank < COLD_FEEDERS;
+    }
+
+    @Override
+    public void settings(SteeringSettings settings) {
+        mRoutes = RouteTable.of(settings);
+        mBackends.services(settings.services());
+        mPlacer.routes(settings.routes());
+        mOnSettings.accept(settings);
+    }
+
+    @Override
+    public void evacuated(Set<String> zones) {
+        mBackends.evacuated(zones, System.nanoTime());
+    }
+
+    @Override
+    public void servers(Map<String, ServerEntry> servers) {
+        int before = mBackends.size();
+        mBackends.servers(servers.values(), System.nanoTime());
+        if (before != mBackends.size()) {
+            mLog.event("state", "servers").with("count", mBackends.size()).write();
+        }
+    }
+
+    /** Returns the route table, null until settings are known. */
+    @Nullable RouteTable routes() {
+        return mRoutes;
+    }
+
+    String service(Route route) {
+        return mSplits.next(route);
+    }
+
+    Placement place(Placer.Request request) {
+        return mPlacer.place(request, System.nanoTime());
+    }
+
+    /** Returns whether a server may still get requests. */
+    boolean usable(Backend backend) {
+        return mBackends.contains(backend);
+    }
+
+    ServiceTimes times() {
+        return mTimes;
+    }
+
+    void countRequest(String service) {
+        retries(service).request(System.nanoTime());
+    }
+
+    boolean tryRepeat(String service) {
+        long now = System.nanoTime();
+        return retries(service).tryTake(mMembers.sharers(now), now);
+    }
+
+    private RetryShare retries(String service) {
+        EntryConfig.Bounds bounds = mConfig.bounds();
+        return mRetries.computeIfAbsent(
+                service,
+                s ->
+                        RetryShare.create(
+                                bounds.retryRatio(),
+                                bounds.retryAllowance(),
+                                bounds.retryWindowMillis() * 1_000_000L));
+    }
+
+    /** Moves the parts of the regions; called once a second. */
+    void plan() {
+        long now = System.nanoTime();
+        mPlacer.plan(mMembers.demand(mConfig.regionOfZone(), now), now);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -0,0 +1,155 @@
+package org.redwingladder.entry;
+
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** Follows one table of the platform's store: reads it once, then waits for its changes. */
+final class TableFollower {
+    /** Bounds the calls of an idle host; a change is told at once whatever the wait is. */
+    private static final long WAIT_MILLIS = 12_000;
+
+    /** A slow store takes up to a few hundred milliseconds for an answer. */
+    private static final long ANSWER_MILLIS = 1_500;
+
+    private static final long FIRST_BACK_OFF_MILLIS = 150;
+    private static final long LONGEST_BACK_OFF_MILLIS = 1_000;
+
+    private final StoreTable mTable;
+    private final PlatformStore mStore;
+    private final XnioIoThread mThread;
+    private final Sink mSink;
+    private final EventLog mLog;
+    private XnioExecutor.@Nullable Key mRetry;
+    private long mBackOffMillis = FIRST_BACK_OFF_MILLIS;
+    private long mGeneration;
+    private boolean mHealthy;
+    private boolean mStopped;
+
+    /** Receives what the store says. */
+    interface Sink {
+        /** Takes over a whole table; false if it is older than what is known. */
+        boolean replace(StoreTable table, List<StoreRow> rows, long position);
+
+        void changes(StoreTable table, List<StoreRow> rows, long position);
+
+        void healthy(StoreTable table, boolean healthy);
+    }
+
+    TableFollower(
+            StoreTable table, PlatformStore store, XnioIoThread thread, Sink sink, EventLog log) {
+        mTable = table;
+        mStore = store;
+        mThread = thread;
+        mSink = sink;
+        mLog = log;
+    }
+
+    boolean healthy() {
+        return mHealthy;
+    }
+
+    /** Reads the table anew, whatever call is under way. */
+    void start() {
+        long generation = ++mGeneration;
+        mRetry = null;
+        mStore.read(
+                mTable,
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS),
+                new Receiver(generation, true));
+    }
+
+    void stop() {
+        mStopped = true;
+        mGeneration++;
+        if (mRetry != null) {
+            mRetry.remove();
+        }
+    }
+
+    /** Goes on from a position that another host had. */
+    void follow(long position) {
+        if (mRetry != null) {
+            mRetry.remove();
+            mRetry = null;
+        }
+        long generation = ++mGeneration;
+        mStore.changes(
+                mTable,
+                position,
+                WAIT_MILLIS,
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + ANSWER_MILLIS),
+                new Receiver(generation, false));
+    }
+
+    private void answered() {
+        if (!mHealthy) {
+            mHealthy = true;
+            mLog.event("store", "regained").with("table", mTable).write();
+        }
+        mBackOffMillis = FIRST_BACK_OFF_MILLIS;
+        mSink.healthy(mTable, true);
+    }
+
+    private void retryLater() {
+        long jitter = ThreadLocalRandom.current().nextLong(mBackOffMillis);
+        mRetry =
+                mThread.executeAfter(
+                        this::start, mBackOffMillis / 2 + jitter, TimeUnit.MILLISECONDS);
+        mBackOffMillis = Math.min(LONGEST_BACK_OFF_MILLIS, mBackOffMillis * 2);
+    }
+
+    private final class Receiver implements PlatformStore.Receiver<StorePage> {
+        private final long mOf;
+        private final boolean mWhole;
+
+        Receiver(long generation, boolean whole) {
+            mOf = generation;
+            mWhole = whole;
+        }
+
+        @Override
+        public void done(StorePage page) {
+            if (mOf != mGeneration || mStopped) {
+                return;
+            }
+            answered();
+            if (!mWhole) {
+                mSink.changes(mTable, page.rows(), page.position());
+            } else if (!mSink.replace(mTable, page.rows(), page.position())) {
+                mLog.event("store", "stale-read")
+                        .with("table", mTable)
+                        .with("position", page.position())
+                        .write();
+                retryLater();
+                return;
+            }
+            follow(page.position());
+        }
+
+        @Override
+        public void failed(StoreException cause) {
+            if (mOf != mGeneration || mStopped) {
+                return;
+            }
+            if (cause.reason() == StoreException.Reason.HISTORY_LOST) {
+                mLog.event("store", "history-lost").with("table", mTable).write();
+                start();
+                return;
+            }
+            if (mHealthy) {
+                mHealthy = false;
+                mLog.event("store", "lost")
+                        .with("table", mTable)
+                        .with("reason", cause.reason())
+                        .with("cause", cause.getMessage())
+                        .write();
+            }
+            mSink.healthy(mTable, false);
+            retryLater();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/redwingladder/entry/TableImage.java
@@ -0,0 +1,66 @@
+package org.redwingladder.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps a copy of one table of the store. It only moves forward: a reading that is older than the
+ * copy is ignored. Not thread-safe.
+ */
+final class TableImage {
+    private final Map<String, StoreRow> mRows = new HashMap<>();
+    private long mPosition;
+    private long mChanged;
+
+    /**
+     * Takes over a whole table.
+     *
+     * @param changed the version of the last change that the reading is known to hold
+     * @return false if the reading is older than the copy
+     */
+    boolean replace(List<StoreRow> rows, long position, long changed) {
+        if (position < mPosition) {
+            return false;
+        }
+        mRows.clear();
+        for (StoreRow row : rows) {
+            mRows.put(row.key(), row);
+        }
+        mPosition = position;
+        mChanged = Math.max(mChanged, changed);
+        return true;
+    }
+
+    /** Takes over changes that follow the copy. */
+    void apply(List<StoreRow> changes, long position) {
+        for (StoreRow row : changes) {
+            mChanged = Math.max(mChanged, row.version());
+            StoreRow known = mRows.get(row.key());
+            if (known != null && known.version() > row.version()) {
+                continue;
+            }
+            if (row.value() == null) {
+                mRows.remove(row.key());
+            } else {
+                mRows.put(row.key(), row);
+            }
+        }
+        mPosition = Math.max(mPosition, position);
+    }
+
+    List<StoreRow> rows() {
+        return new ArrayList<>(mRows.values());
+    }
+
+    /** Returns the version up to which the copy is complete. */
+    long position() {
+        return mPosition;
+    }
+
+    /** Returns the version of the last change in the copy. */
+    long changed() {
+        return mChanged;
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
+++ b/daemon/src/main/java/org/redwingladder/request/ClientWatch.java
@@ -16,7 +16,7 @@
  * watch the work of a client that has gone would stay in the queue and would run. The watch starts
  * before the work does: after the answer the connection's reads belong to the server again.
  */
-final class ClientWatch {
+public final class ClientWatch {
     private final HttpServerExchange mExchange;
     private boolean mWatching;
     private boolean mIsGone;
@@ -27,7 +27,7 @@
     }
 
     /** Starts to watch the client of a request that was read whole; runs in its I/O thread. */
-    static ClientWatch start(HttpServerExchange exchange) {
+    public static ClientWatch start(HttpServerExchange exchange) {
         ClientWatch watch = new ClientWatch(exchange);
         if (exchange.getConnection() instanceof HttpServerConnection connection
                 && connection.getExtraBytes() == null) {
@@ -46,7 +46,7 @@
     }
 
     /** Sets what to do, at most once, when the client has gone. */
-    void onGone(Runnable step) {
+    public void onGone(Runnable step) {
         synchronized (this) {
             if (!mIsGone) {
                 mOnGone = step;
--- a/http/src/main/java/org/redwingladder/http/AnswerReader.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerReader.java
@@ -52,7 +52,7 @@
             return;
         }
         if (mLength != 0) {
-            mBody = new byte[mLength == CHUNKED ? FIRST_CHUNKED_BYTES : (int) mLength];
+            mBody = new byte[lengthKnown() ? (int) mLength : FIRST_CHUNKED_BYTES];
         }
         read(mSource);
     }
@@ -82,9 +82,13 @@
         }
     }
 
+    private boolean lengthKnown() {
+        return mLength >= 0;
+    }
+
     /** Returns room for at least one byte, so that a read can always report the end. */
     private ByteBuffer space() {
-        if (mLength != CHUNKED && mRead == mLength) {
+        if (lengthKnown() && mRead == mLength) {
             return ByteBuffer.allocate(1);
         }
         if (mRead == mBody.length) {
@@ -94,7 +98,7 @@
     }
 
     private void ended() {
-        if (mLength != CHUNKED && mRead != mLength) {
+        if (lengthKnown() && mRead != mLength) {
             mCall.cutOff(new IOException("read " + mRead + " of " + mLength + " bytes"));
             return;
         }
@@ -104,7 +108,7 @@
         afterSurplusCheck(
                 () -> {
                     if (mCall.end()) {
-                        mConnection.release();
+                        mConnection.release(mResponse.getResponseHeaders());
                         mCall.handler().whole(answer);
                     }
                 });
@@ -140,7 +144,8 @@
     private boolean closes() {
         HeaderMap headers = mResponse.getResponseHeaders();
         String connection = headers.getFirst(Headers.CONNECTION);
-        return (connection != null && connection.equalsIgnoreCase("close"))
+        return mLength == UNDELIMITED
+                || (connection != null && connection.equalsIgnoreCase("close"))
                 || Protocols.HTTP_1_0.equals(mResponse.getProtocol());
     }
 
--- a/http/src/main/java/org/redwingladder/http/AnswerStream.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerStream.java
@@ -163,7 +163,7 @@
     }
 
     private void sourceEnded() {
-        if (mReader.length() != AnswerReader.CHUNKED && mTransferred != mReader.length()) {
+        if (mReader.length() >= 0 && mTransferred != mReader.length()) {
             mCall.cutOff(
                     new IOException("read " + mTransferred + " of " + mReader.length() + " bytes"));
             return;
@@ -178,7 +178,7 @@
         if (sink == null || handler == null || !mCall.end()) {
             return;
         }
-        mReader.connection().release();
+        mReader.connection().release(mReader.response().getResponseHeaders());
         freeBuffer();
         try {
             sink.shutdownWrites();
--- a/http/src/main/java/org/redwingladder/http/CallRequest.java
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -21,12 +21,16 @@
     private final ClientRequest mRequest = new ClientRequest();
     private byte @Nullable [] mBody;
     private @Nullable String mRequestId;
+    private HttpString mRequestIdHeader = REQUEST_ID;
+    private long mConnectDeadlineNanos;
+    private boolean mMayEndWithConnection;
     private int mMaxWholeBytes = CallerLimits.DEFAULT_WHOLE_BYTES;
 
     private CallRequest(
             HttpString method, InetSocketAddress address, String path, long deadlineNanos) {
         mAddress = address;
         mDeadlineNanos = deadlineNanos;
+        mConnectDeadlineNanos = deadlineNanos;
         mRequest.setMethod(method).setPath(path).setProtocol(Protocols.HTTP_1_1);
     }
 
@@ -66,6 +70,25 @@
         return header(REQUEST_ID, requestId);
     }
 
+    /** Sets the request id as {@link #requestId(String)} does, under another header name. */
+    public CallRequest requestId(HttpString name, String requestId) {
+        mRequestId = requestId;
+        mRequestIdHeader = name;
+        return header(name, requestId);
+    }
+
+    /** Sets the instant of {@link System#nanoTime} until which a connection has to be open. */
+    public CallRequest connectDeadlineNanos(long nanos) {
+        mConnectDeadlineNanos = nanos - mDeadlineNanos > 0 ? mDeadlineNanos : nanos;
+        return this;
+    }
+
+    /** Accepts answers whose end is the orderly end of their connection. */
+    public CallRequest mayEndWithConnection() {
+        mMayEndWithConnection = true;
+        return this;
+    }
+
     /** Sets the size up to which the answer is read whole. */
     public CallRequest maxWholeBytes(int bytes) {
         mMaxWholeBytes = bytes;
@@ -99,6 +122,18 @@
         return mRequestId;
     }
 
+    HttpString requestIdHeader() {
+        return mRequestIdHeader;
+    }
+
+    long connectDeadlineNanos() {
+        return mConnectDeadlineNanos;
+    }
+
+    boolean endsWithConnection() {
+        return mMayEndWithConnection;
+    }
+
     int maxWholeBytes() {
         return mMaxWholeBytes;
     }
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -24,9 +24,6 @@
  * connection run on the connection's I/O thread.
  */
 final class ClientCall implements Call, ClientCallback<ClientExchange> {
-    private static final HttpString REQUEST_ID =
-            new HttpString(org.redwingladder.api.Headers.REQUEST_ID);
-
     private final HttpCaller mCaller;
     private final CallRequest mRequest;
     private final AnswerHandler mHandler;
@@ -58,20 +55,26 @@
     /** Waits on {@code thread} for a connection to be opened. */
     void awaitConnection(XnioIoThread thread) {
         mThread = thread;
-        runInThread(this::startTimer);
+        runInThread(() -> startTimer(mRequest.connectDeadlineNanos()));
     }
 
     void useConnection(PooledConnection connection) {
         mThread = connection.thread();
         runInThread(
                 () -> {
-                    startTimer();
+                    startTimer(mRequest.deadlineNanos());
                     start(connection);
                 });
     }
 
     void connected(PooledConnection connection) {
-        runInThread(() -> start(connection));
+        runInThread(
+                () -> {
+                    if (!mDone) {
+                        startTimer(mRequest.deadlineNanos());
+                    }
+                    start(connection);
+                });
     }
 
     void notConnected(IOException cause) {
@@ -98,8 +101,12 @@
         }
     }
 
-    private void startTimer() {
-        long wait = mRequest.deadlineNanos() - System.nanoTime();
+    private void startTimer(long deadlineNanos) {
+        if (mTimer != null) {
+            mTimer.remove();
+            mTimer = null;
+        }
+        long wait = deadlineNanos - System.nanoTime();
         if (wait <= 0) {
             deadlinePassed();
         } else if (!mDone) {
@@ -201,17 +208,24 @@
     private @Nullable String fault(ClientResponse response) {
         HeaderMap headers = response.getResponseHeaders();
         String expected = mRequest.requestId();
-        if (expected != null && !expected.equals(headers.getFirst(REQUEST_ID))) {
-            return "the answer carries another request id: " + headers.getFirst(REQUEST_ID);
+        if (expected != null && !expected.equals(headers.getFirst(mRequest.requestIdHeader()))) {
+            return "the answer carries another request id: "
+                    + headers.getFirst(mRequest.requestIdHeader());
         }
         if (mUnsentBody != null) {
             return "the answer came before the request was sent whole";
         }
-        return bodyLength(response) == AnswerReader.UNDELIMITED
+        return bodyLength(response) == AnswerReader.UNDELIMITED && !endsOrderly(headers)
                 ? "the answer has neither Content-Length nor chunking"
                 : null;
     }
 
+    private boolean endsOrderly(HeaderMap headers) {
+        return mRequest.endsWithConnection()
+                && !headers.contains(Headers.CONTENT_LENGTH)
+                && !headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
     /** Returns the body's length, -1 if it is chunked or UNDELIMITED if its end cannot be seen. */
     private long bodyLength(ClientResponse response) {
         int status = response.getResponseCode();
--- a/http/src/main/java/org/redwingladder/http/ConnectionPool.java
+++ b/http/src/main/java/org/redwingladder/http/ConnectionPool.java
@@ -59,8 +59,11 @@
         if (idle == null) {
             return null;
         }
+        long now = System.nanoTime();
         PooledConnection connection = idle.pollFirst();
-        while (connection != null && !connection.isOpen()) {
+        while (connection != null && (!connection.isOpen() || connection.expired(now))) {
+            PooledConnection unusable = connection;
+            unusable.thread().execute(unusable::close);
             connection = idle.pollFirst();
         }
         return connection;
--- a/http/src/main/java/org/redwingladder/http/PooledConnection.java
+++ b/http/src/main/java/org/redwingladder/http/PooledConnection.java
@@ -1,17 +1,29 @@
 package org.redwingladder.http;
 
 import io.undertow.client.ClientConnection;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /** Wraps a connection with its place in the pool. */
 final class PooledConnection {
+    private static final Pattern TIMEOUT = Pattern.compile("timeout=([0-9]{1,9})");
+
+    /** The part of the stated idle time in which a connection is used again. */
+    private static final double USABLE_PART = 0.6;
+
     private final ClientConnection mConnection;
     private final ConnectionPool mPool;
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile long mIdleSince;
+    private volatile boolean mExpires;
+    private volatile long mExpiresNanos;
 
     PooledConnection(ClientConnection connection, ConnectionPool pool) {
         mConnection = connection;
@@ -34,6 +46,23 @@
         return mIdleSince;
     }
 
+    /** Returns whether the other side is about to close the connection as unused. */
+    boolean expired(long nowNanos) {
+        return mExpires && nowNanos - mExpiresNanos >= 0;
+    }
+
+    /** Returns the connection to its pool after an answer with the given headers. */
+    void release(HeaderMap headers) {
+        Matcher timeout = TIMEOUT.matcher(String.valueOf(headers.getFirst(Headers.KEEP_ALIVE)));
+        mExpires = timeout.find();
+        if (mExpires) {
+            long nanos = TimeUnit.SECONDS.toNanos(Long.parseLong(timeout.group(1)));
+            mExpiresNanos = System.nanoTime() + (long) (USABLE_PART * nanos);
+        }
+        release();
+    }
+
+    /** Returns an unused connection to its pool. */
     void release() {
         if (isOpen()) {
             mIdleSince = System.nanoTime();
