Keep an object at one warm server first and learn what unknown objects cost

Change: the first server of an object is preferred, the second one costs a part of the service time, others cost the learned factor; times and speeds are tracked as medians; until demand is known regions are filled alike.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -12,8 +12,8 @@
     /** The share of a new value in the mean of loads. */
     private static final double LOAD_GAIN = 0.2;
 
-    /** The share of a new value in the server's speed. */
-    private static final double SPEED_GAIN = 0.15;
+    /** The factor by which one answer moves the server's speed, which settles at the median. */
+    private static final double SPEED_STEP = 1.08;
 
     private static final double MAX_SLOWNESS = 20;
     private static final double MIN_SLOWNESS = 0.5;
@@ -108,10 +108,12 @@
         mFlights.removeFirstOccurrence(sentNanos);
         switch (result) {
             case ANSWERED -> {
-                double ratio =
-                        (nowNanos - sentNanos) / NANOS_PER_MILLI / Math.max(1, expectedMillis);
-                double seen = Math.clamp(ratio * mSlowness, MIN_SLOWNESS, MAX_SLOWNESS);
-                mSlowness += SPEED_GAIN * (seen - mSlowness);
+                boolean slower = nowNanos - sentNanos > expectedMillis * NANOS_PER_MILLI;
+                mSlowness =
+                        Math.clamp(
+                                slower ? mSlowness * SPEED_STEP : mSlowness / SPEED_STEP,
+                                MIN_SLOWNESS,
+                                MAX_SLOWNESS);
                 mFailureShare -= FAILURE_GAIN * mFailureShare;
                 mFailuresInRow = 0;
                 mEjected = false;
--- a/core/src/main/java/org/redwingladder/steering/BackendSet.java
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -127,6 +127,13 @@
         return mById.size();
     }
 
+    /** Returns the number of zones of each region. */
+    public Map<String, Double> zonesByRegion() {
+        Map<String, Double> zones = new HashMap<>();
+        mRegionOfZone.values().forEach(region -> zones.merge(region, 1.0, Double::sum));
+        return zones;
+    }
+
     /** Returns the slots of a service by region. */
     public Map<String, Double> slotsByRegion(String service) {
         Map<String, Double> slots = new HashMap<>();
--- a/core/src/main/java/org/redwingladder/steering/Placement.java
+++ b/core/src/main/java/org/redwingladder/steering/Placement.java
@@ -9,8 +9,10 @@
      * @param server the server
      * @param waitMillis the expected time in the server's queue
      * @param serviceMillis the expected time of the work
+     * @param warm whether the server is expected to know the request's object
      */
-    record Send(Backend server, double waitMillis, double serviceMillis) implements Placement {}
+    record Send(Backend server, double waitMillis, double serviceMillis, boolean warm)
+            implements Placement {}
 
     /**
      * Refuses the request, which has not run.
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -18,13 +18,11 @@
  * queues stay short and what is admitted is answered in time. Not thread-safe.
  */
 public final class Placer {
-    /** The servers of a region that share an object, as a part of the region's servers. */
-    private static final double WARM_PART = 0.5;
+    /** Below this many servers in a region each object has one server, else two. */
+    private static final int SERVERS_FOR_SECOND = 4;
 
-    private static final int MIN_WARM = 2;
-
-    /** Expected extra work where the object is cold, as a multiple of the service time. */
-    private static final double COLD_OBJECT = 0.5;
+    /** Keeps most requests for an object at its first server, as a part of the service time. */
+    private static final double SECOND_SERVER = 0.3;
 
     /** Work of a server that has just started, as a multiple of the usual time. */
     private static final double COLD_SERVER = 2;
@@ -41,6 +39,9 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long STEP_NANOS = 1_000_000_000L;
 
+    /** A service time at which any demand fills all regions alike. */
+    private static final double FULL_SECONDS = 1e6;
+
     /** The part of a region's requests that may change its region in one step of a second. */
     private static final double REGION_STEP = 0.04;
 
@@ -61,7 +62,7 @@
             };
     private long mOrdersOf = -1;
     private long mPartsNanos;
-    private boolean mPlanned;
+    private boolean mDemandSeen;
     private Map<String, Integer> mMostUrgent = Map.of();
     private Feeders mFeeders = server -> true;
 
@@ -128,19 +129,26 @@
      * @param demand requests a second by service and region, as the hosts report them
      */
     public void plan(Map<String, Map<String, Double>> demand, long nowNanos) {
-        double step = mPlanned ? REGION_STEP * (nowNanos - mPartsNanos) / STEP_NANOS : 1;
+        double step = REGION_STEP * (nowNanos - mPartsNanos) / STEP_NANOS;
         mPartsNanos = nowNanos;
-        mPlanned = true;
-        for (String service : demand.keySet()) {
-            Map<String, Double> target =
-                    RegionPlan.target(
-                            mRegion,
-                            demand.get(service),
-                            mBackends.slotsByRegion(service),
-                            mTimes.millis(service, 1) / 1000);
+        for (String service : mMostUrgent.keySet()) {
+            Map<String, Double> target = target(service, demand.get(service));
             Map<String, Double> now = mParts.get(service);
-            mParts.put(service, now == null ? target : RegionPlan.move(now, target, step));
+            if (!target.isEmpty()) {
+                mParts.put(
+                        service,
+                        now == null || !mDemandSeen ? target : RegionPlan.move(now, target, step));
+            }
         }
+        mDemandSeen = mDemandSeen || !demand.isEmpty();
+    }
+
+    /** Until any demand is known all zones are taken to have the same. */
+    private Map<String, Double> target(String service, @Nullable Map<String, Double> demand) {
+        Map<String, Double> slots = mBackends.slotsByRegion(service);
+        return demand == null
+                ? RegionPlan.target(mRegion, mBackends.zonesByRegion(), slots, FULL_SECONDS)
+                : RegionPlan.target(mRegion, demand, slots, mTimes.millis(service, 1) / 1000);
     }
 
     /** Returns the parts of the regions that serve a service's requests. */
@@ -165,7 +173,7 @@
         if (best.mBackend.cold(nowNanos)) {
             best.mBackend.coldGate().tryPass(coldRate(request.service()), nowNanos);
         }
-        return new Placement.Send(best.mBackend, best.mWaitMillis, best.mServiceMillis);
+        return new Placement.Send(best.mBackend, best.mWaitMillis, best.mServiceMillis, best.mWarm);
     }
 
     private double allowedWait(Request request, double serviceMillis, long nowNanos) {
@@ -255,24 +263,27 @@
     private Choice best(List<Backend> ordered, Request request, long nowNanos) {
         double service = mTimes.millis(request.service(), request.route().objectiveMillis());
         boolean affinity = request.route().affinity() && request.objectKey() != null;
-        int warm = Math.max(MIN_WARM, (int) Math.ceil(WARM_PART * ordered.size()));
+        int warm = !affinity ? ordered.size() : ordered.size() < SERVERS_FOR_SECOND ? 1 : 2;
+        double coldObject = service * (mTimes.coldFactor(request.service()) - 1);
         Choice best = null;
         for (int rank = 0; rank < ordered.size(); rank++) {
             Backend backend = ordered.get(rank);
-            double work = service * backend.slowness(service, nowNanos);
-            int slots = backend.entry().slots();
-            double ahead = backend.expectedLoad(nowNanos) + 1 - slots;
-            double wait = Math.max(0, ahead) * work / slots;
-            double extra = affinity && rank >= warm ? COLD_OBJECT * service : 0;
+            double slowness = backend.slowness(service, nowNanos);
             if (backend.cold(nowNanos)) {
-                work *= COLD_SERVER;
+                slowness *= COLD_SERVER;
             }
+            int slots = backend.entry().slots();
+            double ahead = backend.expectedLoad(nowNanos) + 1 - slots;
+            double wait = Math.max(0, ahead) * service * slowness / slots;
+            double extra =
+                    rank >= warm ? coldObject : affinity && rank > 0 ? SECOND_SERVER * service : 0;
+            double work = (service + (rank >= warm ? coldObject : 0)) * slowness;
             double crossing = mDelay.millis(mRegion, mBackends.region(backend.entry().zone()));
             // Among idle servers the one with more free slots is less likely to be found busy.
-            double crowd = work * Math.max(0, ahead + slots) / slots / 4;
-            double cost = wait + work + extra + crossing + crowd;
+            double crowd = service * slowness * Math.max(0, ahead + slots) / slots / 4;
+            double cost = wait + service * slowness + extra + crossing + crowd;
             if (best == null || cost < best.mCost) {
-                best = new Choice(backend, wait, work + extra + crossing, cost);
+                best = new Choice(backend, wait, work + crossing, rank < warm, cost);
             }
         }
         if (best == null) {
@@ -285,12 +296,19 @@
         private final Backend mBackend;
         private final double mWaitMillis;
         private final double mServiceMillis;
+        private final boolean mWarm;
         private final double mCost;
 
-        Choice(Backend backend, double waitMillis, double serviceMillis, double cost) {
+        Choice(
+                Backend backend,
+                double waitMillis,
+                double serviceMillis,
+                boolean warm,
+                double cost) {
             mBackend = backend;
             mWaitMillis = waitMillis;
             mServiceMillis = serviceMillis;
+            mWarm = warm;
             mCost = cost;
         }
     }
--- a/core/src/main/java/org/redwingladder/steering/ServiceTimes.java
+++ b/core/src/main/java/org/redwingladder/steering/ServiceTimes.java
@@ -3,20 +3,29 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Learns how long the work of each service takes. Not thread-safe. */
+/**
+ * Learns how long the work of each service usually takes, and how much longer where the object of
+ * the request is not known to the backend server.
+ *
+ * <p>Both are tracked as medians, since a few stragglers take many times longer. Not thread-safe.
+ */
 public final class ServiceTimes {
-    private static final double GAIN = 0.03;
-
-    /** A single straggler must not pass for the mean. */
-    private static final double MAX_RATIO = 4;
+    /** The relative step towards an observed time; the tracked value settles at the median. */
+    private static final double STEP = 0.03;
 
     /** Expected before the first answer, as a part of the objective. */
-    private static final double FIRST_GUESS = 0.6;
+    private static final double FIRST_GUESS = 0.4;
+
+    /** The work for an unknown object before any was seen, as a multiple of the usual work. */
+    private static final double FIRST_COLD_FACTOR = 3;
+
+    private static final double MAX_COLD_FACTOR = 8;
 
     private final Map<String, Double> mMillis = new HashMap<>();
+    private final Map<String, Double> mColdFactors = new HashMap<>();
 
     /**
-     * Returns the expected time of a request in a slot.
+     * Returns the usual time of a request in a slot.
      *
      * @param objectiveMillis the objective of the request's route, used before the first answer
      */
@@ -25,10 +34,24 @@
         return known == null ? Math.max(1, FIRST_GUESS * objectiveMillis) : known;
     }
 
-    /** Takes over the time of one answer, without the expected time in the queue. */
-    public void observed(String service, double millis, long objectiveMillis) {
-        double known = millis(service, objectiveMillis);
-        double seen = Math.clamp(millis, 1, known * MAX_RATIO);
-        mMillis.put(service, known + GAIN * (seen - known));
+    /** Returns how many times longer the work takes for an unknown object, at least 1. */
+    public double coldFactor(String service) {
+        return mColdFactors.getOrDefault(service, FIRST_COLD_FACTOR);
+    }
+
+    /** Takes over the time of an answer whose object the server knew. */
+    public void warm(String service, double millis, long objectiveMillis) {
+        mMillis.put(service, towards(millis(service, objectiveMillis), millis));
+    }
+
+    /** Takes over the time of an answer whose object the server is not expected to know. */
+    public void cold(String service, double millis, long objectiveMillis) {
+        double factor = millis / millis(service, objectiveMillis);
+        mColdFactors.put(
+                service, Math.clamp(towards(coldFactor(service), factor), 1, MAX_COLD_FACTOR));
+    }
+
+    private static double towards(double known, double seen) {
+        return seen > known ? known * (1 + STEP) : known / (1 + STEP);
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -285,6 +285,11 @@
                         mMembers.alive(now), asked.zone(), asked.region(), mConfig.regionOfZone());
         if (!heard || addresses.isEmpty()) {
             mMetrics.count("lookup.refused");
+            mLog.event("lookup", "refused")
+                    .with("zone", asked.zone())
+                    .with("heard", heard)
+                    .with("alive", mMembers.alive(now).size())
+                    .write();
             Responses.text(exchange, 503, "no host is known yet\n");
             return;
         }
--- a/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -277,6 +277,9 @@
                     .with("wait", (long) attempt.mPlacement.waitMillis())
                     .with("work", (long) attempt.mPlacement.serviceMillis())
                     .with("millis", millis)
+                    .with("object", mClient.objectKey())
+                    .with("service", mService)
+                    .with("sends", mTried.size())
                     .write();
         }
     }
@@ -390,13 +393,14 @@
         }
 
         private void observe() {
-            if (mPlacement.waitMillis() <= 0) {
-                mContext.steering()
-                        .times()
-                        .observed(
-                                mService,
-                                (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI,
-                                mRoute.objectiveMillis());
+            if (mPlacement.waitMillis() > 0) {
+                return;
+            }
+            double millis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI;
+            if (mPlacement.warm()) {
+                mContext.steering().times().warm(mService, millis, mRoute.objectiveMillis());
+            } else {
+                mContext.steering().times().cold(mService, millis, mRoute.objectiveMillis());
             }
         }
 
