--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -24,6 +24,13 @@
     /** Keeps most requests for an object at its first server, as a part of the service time. */
     private static final double SECOND_SERVER = 0.3;
 
+    /**
+     * The load, as a part of the slots, up to which a server takes requests for objects that it
+     * does not know. Such work takes several times longer; under load it would push out the work
+     * that fits, and servers would learn ever more objects without keeping any.
+     */
+    private static final double SPILL_LOAD = 0.5;
+
     /** Work of a server that has just started, as a multiple of the usual time. */
     private static final double COLD_SERVER = 2;
 
@@ -274,6 +281,9 @@
             }
             int slots = backend.entry().slots();
             double ahead = backend.expectedLoad(nowNanos) + 1 - slots;
+            if (rank >= warm && best != null && ahead + slots > SPILL_LOAD * slots) {
+                continue;
+            }
             double wait = Math.max(0, ahead) * service * slowness / slots;
             double extra =
                     rank >= warm ? coldObject : affinity && rank > 0 ? SECOND_SERVER * service : 0;
