Keep all requests for an object at one server of one region

Change: an object's region follows from weighted rendezvous over the parts; one warm server an object.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -158,12 +158,17 @@
     }
 
     /** Returns the number of requests that the server is expected to hold. */
-    double expectedLoad(long nowNanos) {
+    public double expectedLoad(long nowNanos) {
         double age = (nowNanos - mReportNanos) / NANOS_PER_MILLI;
         double fade = Math.exp(-age / REPORT_FADE_MILLIS);
         return mFlights.size() + mOthersMean + (mOthersLast - mOthersMean) * fade;
     }
 
+    /** Returns how many times longer than usual the server's answers take. */
+    public double slowness() {
+        return mSlowness;
+    }
+
     /** Returns how many times longer than usual the server works. */
     double slowness(double serviceMillis, long nowNanos) {
         Long oldest = mFlights.peekFirst();
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -169,7 +169,7 @@
         if (byRegion.isEmpty()) {
             return new Placement.Refuse(Placement.Reason.NO_SERVER, MIN_RETRY_AFTER_MILLIS * 3);
         }
-        String region = region(request.service(), byRegion.keySet());
+        String region = region(request, byRegion.keySet());
         Choice best = best(byRegion.get(region), request, nowNanos);
         double allowed = allowedWait(request, best.mServiceMillis, nowNanos);
         if (best.mWaitMillis > allowed) {
@@ -246,9 +246,19 @@
         return ordered;
     }
 
-    /** Chooses the region by smooth weighted round robin, so that each keeps its part exactly. */
-    private String region(String service, Set<String> usable) {
+    /**
+     * Chooses the region, so that each keeps its part. All requests for an object go to the same
+     * region; the others go by smooth weighted round robin.
+     */
+    private String region(Request request, Set<String> usable) {
+        String service = request.service();
         Map<String, Double> parts = mParts.getOrDefault(service, Map.of());
+        if (request.route().affinity() && request.objectKey() != null) {
+            Map<String, Double> shares = new TreeMap<>(parts);
+            shares.keySet().retainAll(usable);
+            String region = Rendezvous.weighted(request.objectKey(), shares);
+            return region == null ? nearest(usable) : region;
+        }
         Map<String, Double> credits = mCredits.computeIfAbsent(service, s -> new HashMap<>());
         String best = null;
         double total = 0;
@@ -261,16 +271,20 @@
             }
         }
         if (best == null) {
-            return usable.contains(mRegion) ? mRegion : usable.iterator().next();
+            return nearest(usable);
         }
         credits.merge(best, -total, Double::sum);
         return best;
     }
 
+    private String nearest(Set<String> usable) {
+        return usable.contains(mRegion) ? mRegion : usable.iterator().next();
+    }
+
     private Choice best(List<Backend> ordered, Request request, long nowNanos) {
         double service = mTimes.millis(request.service(), request.route().objectiveMillis());
         boolean affinity = request.route().affinity() && request.objectKey() != null;
-        int warm = !affinity ? ordered.size() : ordered.size() < SERVERS_FOR_SECOND ? 1 : 2;
+        int warm = !affinity ? ordered.size() : ordered.size() < SERVERS_FOR_SECOND ? 1 : 1;
         double coldObject = service * (mTimes.coldFactor(request.service()) - 1);
         Choice best = null;
         for (int rank = 0; rank < ordered.size(); rank++) {
--- a/core/src/main/java/org/redwingladder/steering/Rendezvous.java
+++ b/core/src/main/java/org/redwingladder/steering/Rendezvous.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /** Orders names by their weight for a key; all hosts find the same order. */
 public final class Rendezvous {
@@ -28,6 +29,26 @@
         return ordered;
     }
 
+    /**
+     * Returns one of the names, each for a part of the keys that follows its share; null if no
+     * share is positive. A change of the shares moves only as many keys as it has to.
+     */
+    public static @Nullable String weighted(String key, Map<String, Double> shares) {
+        String best = null;
+        double bestScore = 0;
+        for (Map.Entry<String, Double> share : shares.entrySet()) {
+            if (share.getValue() > 0) {
+                double unit = ((weight(key, share.getKey()) >>> 11) + 0.5) * 0x1.0p-53;
+                double score = -share.getValue() / Math.log(unit);
+                if (best == null || score > bestScore) {
+                    best = share.getKey();
+                    bestScore = score;
+                }
+            }
+        }
+        return best;
+    }
+
     private static long weight(String key, String name) {
         long hash = FNV_OFFSET;
         for (int i = 0; i < key.length(); i++) {
--- a/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -277,6 +277,10 @@
                     .with("wait", (long) attempt.mPlacement.waitMillis())
                     .with("work", (long) attempt.mPlacement.serviceMillis())
                     .with("millis", millis)
+                    .with("warm", attempt.mPlacement.warm())
+                    .with("sent", (attempt.mSentNanos - mArrivedNanos) / 1_000_000)
+                    .with("slow", (long) (100 * attempt.mBackend.slowness()))
+                    .with("load", (long) (100 * attempt.mLoad))
                     .with("object", mClient.objectKey())
                     .with("service", mService)
                     .with("sends", mTried.size())
@@ -291,6 +295,7 @@
         private final long mSentNanos = System.nanoTime();
         private @Nullable Call mCall;
         private boolean mEnded;
+        private double mLoad;
 
         Attempt(Placement.Send placement) {
             mPlacement = placement;
@@ -298,6 +303,7 @@
         }
 
         void send() {
+            mLoad = mBackend.expectedLoad(mSentNanos);
             mBackend.sent(mSentNanos);
             CallRequest request =
                     CallRequest.of(
