Let two hosts a region follow the store and pass changes on

Change: two hosts a region, in different zones, follow the store; the others get the changes from them and catch up by the exchange between hosts. A hold for lapsed entries travels with the changes.

--- a/core/src/main/java/org/redwingladder/steering/HostEntry.java
+++ b/core/src/main/java/org/redwingladder/steering/HostEntry.java
@@ -12,6 +12,7 @@
  * @param peerAddress where other hosts reach it
  * @param clientAddress where clients reach it
  * @param serving whether clients should be sent to it
+ * @param storeReachable whether the store answered it when it last asked
  * @param demand the requests a second that it receives, by service
  */
 public record HostEntry(
@@ -22,6 +23,7 @@
         String peerAddress,
         String clientAddress,
         boolean serving,
+        boolean storeReachable,
         Map<String, Double> demand) {
 
     /** Returns whether this is newer than {@code other}, which describes the same host. */
--- a/core/src/main/java/org/redwingladder/steering/LapseHold.java
+++ b/core/src/main/java/org/redwingladder/steering/LapseHold.java
@@ -41,6 +41,19 @@
         }
     }
 
+    /** Notes that another host, which passes changes on, waits for servers to return. */
+    public void othersHold(long nowNanos) {
+        if (!holding(nowNanos)) {
+            mHolding = true;
+            mHoldUntilNanos = nowNanos + RETURN_NANOS;
+        }
+    }
+
+    /** Returns whether entries that lapse now are held. */
+    public boolean active(long nowNanos) {
+        return holding(nowNanos);
+    }
+
     /** Takes over the registered servers and returns those to use. */
     public Map<String, ServerEntry> update(Map<String, ServerEntry> registered, long nowNanos) {
         if (holding(nowNanos)) {
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -17,6 +17,7 @@
 import org.redwingladder.steering.HostEntry;
 import org.redwingladder.steering.LookupChoice;
 import org.redwingladder.steering.MemberTable;
+import org.redwingladder.steering.ReaderChoice;
 import org.redwingladder.supervisor.Supervisor;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -149,11 +150,11 @@
         mMetrics.gauge("settings.version", this::settingsVersion);
         mThread.execute(
                 () -> {
-                    mState.start(store);
+                    mState.start(store, mPeers::pass);
                     mPeers.start(this::self, this::laterStart);
                     register();
                     readHosts();
-                    plan();
+                    mThread.executeAfter(this::plan, PLAN_MILLIS, TimeUnit.MILLISECONDS);
                 });
         mLog.event("host", "started")
                 .with("zone", mConfig.zone())
@@ -168,6 +169,9 @@
 
     private void plan() {
         mSteering.plan();
+        mState.follow(
+                ReaderChoice.reads(
+                        mConfig.host(), mMembers.alive(System.nanoTime()), mConfig.regionOfZone()));
         mThread.executeAfter(this::plan, PLAN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -182,6 +186,7 @@
                 Addresses.format(mConfig.peers()),
                 Addresses.format(mConfig.clients()),
                 mState.ready() && !mStopping,
+                mState.storeReachable(),
                 mDemand.rates(now));
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -30,13 +30,14 @@
 final class PeerExchange implements HttpHandler {
     private static final String EXCHANGE = "/peer/exchange";
     private static final String COPY = "/peer/copy";
+    private static final String CHANGES = "/peer/changes";
     private static final String METRICS = "/metrics";
 
     /** Four exchanges pass before a host of the same zone counts as silent. */
     private static final long PERIOD_MILLIS = 600;
 
     /** Each n-th exchange goes to any zone; the others stay in the zone. */
-    private static final int ANY_ZONE_EACH = 3;
+    private static final int ANY_ZONE_EACH = 2;
 
     /** Longer than a round trip between regions and a pause of a busy host. */
     private static final long CALL_MILLIS = 1_000;
@@ -118,6 +119,16 @@
         }
     }
 
+    /** Passes changes on to the hosts of the region. */
+    void pass(PeerMessages.Changes changes) {
+        for (HostEntry host : mMembers.alive(System.nanoTime())) {
+            if (!host.name().equals(mConfig.host())
+                    && mConfig.region().equals(mConfig.region(host.zone()))) {
+                call(host.peerAddress(), CHANGES, changes, body -> {});
+            }
+        }
+    }
+
     private void tick() {
         long now = System.nanoTime();
         refreshSelf(now);
@@ -180,15 +191,18 @@
         mCaller.ask(request)
                 .whenComplete(
                         (answer, cause) ->
-                                mThread.execute(() -> ended(address, answer, cause, reader)));
+                                mThread.execute(() -> ended(address, path, answer, cause, reader)));
     }
 
     private void ended(
             String address,
+            String path,
             @Nullable WholeAnswer answer,
             @Nullable Throwable cause,
             BodyReader reader) {
-        mCopying = false;
+        if (path.equals(COPY)) {
+            mCopying = false;
+        }
         String fault = cause == null ? null : String.valueOf(cause.getMessage());
         if (answer != null && answer.status() != 200) {
             fault = "status " + answer.status();
@@ -236,7 +250,7 @@
 
     private void adopt(PeerMessages.Copies copies) {
         for (PeerMessages.TableCopy copy : copies.tables()) {
-            mState.adopt(copy.table(), copy.rows(), copy.position(), copy.changed());
+            mState.adopt(copy);
         }
     }
 
@@ -245,7 +259,7 @@
         String path = exchange.getRequestPath();
         if (path.equals(METRICS)) {
             Responses.text(exchange, 200, MetricsText.text(mMetrics.registry()));
-        } else if (path.equals(EXCHANGE) || path.equals(COPY)) {
+        } else if (path.equals(EXCHANGE) || path.equals(COPY) || path.equals(CHANGES)) {
             exchange.getRequestReceiver()
                     .receiveFullBytes((same, body) -> answer(exchange, path, body));
         } else {
@@ -262,6 +276,11 @@
                     received(address, message);
                 }
                 Responses.json(exchange, Json.write(message()));
+            } else if (path.equals(CHANGES)) {
+                if (!mState.passed(Json.read(body, PeerMessages.Changes.class))) {
+                    mMetrics.count("peers.changes-missed");
+                }
+                Responses.text(exchange, 200, "");
             } else {
                 PeerMessages.CopyRequest asked = Json.read(body, PeerMessages.CopyRequest.class);
                 List<PeerMessages.TableCopy> copies =
--- a/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
@@ -35,6 +35,7 @@
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
     private boolean mServersKnown;
+    private Passer mPasser = changes -> {};
 
     /** Receives changes of what is believed. */
     interface Receiver {
@@ -56,7 +57,13 @@
         mImages.put(StoreTable.SERVERS, new TableImage());
     }
 
-    void start(PlatformStore store) {
+    /** Passes changes on to other hosts. */
+    interface Passer {
+        void pass(PeerMessages.Changes changes);
+    }
+
+    void start(PlatformStore store, Passer passer) {
+        mPasser = passer;
         for (StoreTable table : mImages.keySet()) {
             TableFollower follower = new TableFollower(table, store, mThread, this, mLog);
             mFollowers.put(table, follower);
@@ -68,6 +75,17 @@
         mFollowers.values().forEach(TableFollower::stop);
     }
 
+    /** Sets whether this host follows the store itself. */
+    void follow(boolean following) {
+        mFollowers.forEach(
+                (table, follower) -> follower.following(following, mImages.get(table).position()));
+    }
+
+    /** Returns whether the store answered when this host last asked. */
+    boolean storeReachable() {
+        return mFollowers.values().stream().noneMatch(TableFollower::lastFailed);
+    }
+
     /** Returns whether requests can be routed. */
     boolean ready() {
         return mSettings != null && mServersKnown;
@@ -98,12 +116,38 @@
 
     @Override
     public void changes(StoreTable table, List<StoreRow> rows, long position) {
+        long after = mImages.get(table).position();
         mImages.get(table).apply(rows, position);
         if (!rows.isEmpty()) {
+            mPasser.pass(new PeerMessages.Changes(table, after, position, holding(), rows));
             changed(table);
         }
     }
 
+    /** Takes over changes that another host passes on; false if changes before them are missing. */
+    boolean passed(PeerMessages.Changes changes) {
+        TableImage image = mImages.get(changes.table());
+        if (image.position() < changes.after()) {
+            return false;
+        }
+        if (image.position() < changes.position()) {
+            hold(changes.holding());
+            image.apply(changes.rows(), changes.position());
+            changed(changes.table());
+        }
+        return true;
+    }
+
+    private boolean holding() {
+        return mHold.active(System.nanoTime());
+    }
+
+    private void hold(boolean othersHold) {
+        if (othersHold) {
+            mHold.othersHold(System.nanoTime());
+        }
+    }
+
     @Override
     public void healthy(StoreTable table, boolean healthy) {
         if (table != StoreTable.SERVERS) {
@@ -117,11 +161,14 @@
     }
 
     /** Takes over another host's copy of a table that is ahead of this host's. */
-    void adopt(StoreTable table, List<StoreRow> rows, long position, long changed) {
+    void adopt(PeerMessages.TableCopy copy) {
+        StoreTable table = copy.table();
+        long position = copy.position();
         TableImage image = mImages.get(table);
-        if (position <= image.position() || !image.replace(rows, position, changed)) {
+        if (position <= image.position() || !image.replace(copy.rows(), position, copy.changed())) {
             return;
         }
+        hold(copy.holding());
         mLog.event("state", "adopted").with("table", table).with("position", position).write();
         changed(table);
         if (healthy(table)) {
@@ -242,7 +289,11 @@
                     if (image.position() > positions.getOrDefault(table, -1L)) {
                         copies.add(
                                 new PeerMessages.TableCopy(
-                                        table, image.position(), image.changed(), image.rows()));
+                                        table,
+                                        image.position(),
+                                        image.changed(),
+                                        holding(),
+                                        image.rows()));
                     }
                 });
         return copies;
--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -28,6 +28,9 @@
     private long mGeneration;
     private boolean mHealthy;
     private boolean mStopped;
+    private boolean mFollowing = true;
+    private boolean mLastFailed;
+    private boolean mRead;
 
     /** Receives what the store says. */
     interface Sink {
@@ -52,6 +55,27 @@
         return mHealthy;
     }
 
+    /** Returns whether the store did not answer when it was last asked. */
+    boolean lastFailed() {
+        return mLastFailed;
+    }
+
+    /** Sets whether this host waits for changes itself or relies on others to tell them. */
+    void following(boolean following, long position) {
+        if (following == mFollowing || mStopped) {
+            return;
+        }
+        mFollowing = following;
+        if (!following) {
+            return;
+        }
+        if (mRead) {
+            follow(position);
+        } else {
+            start();
+        }
+    }
+
     /** Reads the table anew, whatever call is under way. */
     void start() {
         long generation = ++mGeneration;
@@ -72,6 +96,9 @@
 
     /** Goes on from a position that another host had. */
     void follow(long position) {
+        if (!mFollowing) {
+            return;
+        }
         if (mRetry != null) {
             mRetry.remove();
             mRetry = null;
@@ -86,6 +113,8 @@
     }
 
     private void answered() {
+        mLastFailed = false;
+        mRead = true;
         if (!mHealthy) {
             mHealthy = true;
             mLog.event("store", "regained").with("table", mTable).write();
@@ -136,6 +165,7 @@
                 return;
             }
             if (cause.reason() == StoreException.Reason.HISTORY_LOST) {
+                mLastFailed = false;
                 mLog.event("store", "history-lost").with("table", mTable).write();
                 start();
                 return;
@@ -148,8 +178,11 @@
                         .with("cause", cause.getMessage())
                         .write();
             }
+            mLastFailed = true;
             mSink.healthy(mTable, false);
-            retryLater();
+            if (mFollowing || !mRead) {
+                retryLater();
+            }
         }
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/TableImage.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableImage.java
@@ -33,12 +33,11 @@
         return true;
     }
 
-    /** Takes over changes that follow the copy. */
+    /** Takes over changes that follow the copy; what it already holds is passed over. */
     void apply(List<StoreRow> changes, long position) {
         for (StoreRow row : changes) {
             mChanged = Math.max(mChanged, row.version());
-            StoreRow known = mRows.get(row.key());
-            if (known != null && known.version() > row.version()) {
+            if (row.version() <= mPosition) {
                 continue;
             }
             if (row.value() == null) {
