--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -18,11 +18,15 @@
  * queues stay short and what is admitted is answered in time. Not thread-safe.
  */
 public final class Placer {
-    /** Below this many servers in a region each object has one server, else two. */
-    private static final int SERVERS_FOR_SECOND = 4;
+    /**
+     * The part of the extra work for an unknown object that is expected at an object's second
+     * server: what the first one has no room for always goes there, so that it often knows the
+     * object.
+     */
+    private static final double SECOND_SERVER = 0.5;
 
-    /** Keeps most requests for an object at its first server, as a part of the service time. */
-    private static final double SECOND_SERVER = 0.3;
+    /** The load up to which an object's second server takes what the first has no room for. */
+    private static final double SECOND_LOAD = 0.75;
 
     /**
      * The load, as a part of the slots, up to which a server takes requests for objects that it
@@ -155,7 +159,7 @@
         Map<String, Double> slots = mBackends.slotsByRegion(service);
         return demand == null
                 ? RegionPlan.target(mRegion, mBackends.zonesByRegion(), slots, FULL_SECONDS)
-                : RegionPlan.target(mRegion, demand, slots, mTimes.millis(service, 1) / 1000);
+                : RegionPlan.target(mRegion, demand, slots, mTimes.meanMillis(service, 1) / 1000);
     }
 
     /** Returns the parts of the regions that serve a service's requests. */
@@ -284,7 +288,7 @@
     private Choice best(List<Backend> ordered, Request request, long nowNanos) {
         double service = mTimes.millis(request.service(), request.route().objectiveMillis());
         boolean affinity = request.route().affinity() && request.objectKey() != null;
-        int warm = !affinity ? ordered.size() : ordered.size() < SERVERS_FOR_SECOND ? 1 : 1;
+        int warm = affinity ? 1 : ordered.size();
         double coldObject = service * (mTimes.coldFactor(request.service()) - 1);
         Choice best = null;
         for (int rank = 0; rank < ordered.size(); rank++) {
@@ -295,17 +299,16 @@
             }
             int slots = backend.entry().slots();
             double ahead = backend.expectedLoad(nowNanos) + 1 - slots;
-            if (rank >= warm && best != null && ahead + slots > SPILL_LOAD * slots) {
+            double unknown = rank < warm ? 0 : coldObject * (rank == warm ? SECOND_SERVER : 1);
+            if (rank >= warm && best != null && ahead + slots > spillLoad(rank - warm) * slots) {
                 continue;
             }
             double wait = Math.max(0, ahead) * service * slowness / slots;
-            double extra =
-                    rank >= warm ? coldObject : affinity && rank > 0 ? SECOND_SERVER * service : 0;
-            double work = (service + (rank >= warm ? coldObject : 0)) * slowness;
+            double work = (service + unknown) * slowness;
             double crossing = mDelay.millis(mRegion, mBackends.region(backend.entry().zone()));
             // Among idle servers the one with more free slots is less likely to be found busy.
             double crowd = service * slowness * Math.max(0, ahead + slots) / slots / 4;
-            double cost = wait + service * slowness + extra + crossing + crowd;
+            double cost = wait + service * slowness + unknown + crossing + crowd;
             if (best == null || cost < best.mCost) {
                 best = new Choice(backend, wait, work + crossing, rank < warm, cost);
             }
@@ -316,6 +319,10 @@
         return best;
     }
 
+    private static double spillLoad(int rank) {
+        return rank == 0 ? SECOND_LOAD : SPILL_LOAD;
+    }
+
     private static final class Choice {
         private final Backend mBackend;
         private final double mWaitMillis;
--- a/core/src/main/java/org/redwingladder/steering/RegionPlan.java
+++ b/core/src/main/java/org/redwingladder/steering/RegionPlan.java
@@ -20,14 +20,17 @@
      * Returns the part of {@code home}'s requests that each region should serve.
      *
      * @param demand the requests a second of each region
-     * @param capacity the slots of each region
+     * @param slots the slots of each region
      * @param serviceSeconds the mean time of a request in a slot
      */
     public static Map<String, Double> target(
             String home,
             Map<String, Double> demand,
-            Map<String, Double> capacity,
+            Map<String, Double> slots,
             double serviceSeconds) {
+        Map<String, Double> capacity = new TreeMap<>();
+        // Few slots queue at a lower utilization than many; the square root is their usual reserve.
+        slots.forEach((region, count) -> capacity.put(region, count - Math.sqrt(count)));
         double allDemand = sum(demand);
         double allCapacity = sum(capacity);
         Map<String, Double> parts = new TreeMap<>();
--- a/core/src/main/java/org/redwingladder/steering/ServiceTimes.java
+++ b/core/src/main/java/org/redwingladder/steering/ServiceTimes.java
@@ -21,6 +21,17 @@
 
     private static final double MAX_COLD_FACTOR = 8;
 
+    /**
+     * The share of a new time in the mean, and the multiple of the median that it counts at most.
+     */
+    private static final double MEAN_GAIN = 0.02;
+
+    private static final double MAX_IN_MEAN = 6;
+
+    /** The mean before the first answer, as a multiple of the median. */
+    private static final double FIRST_MEAN = 1.5;
+
+    private final Map<String, Double> mMeans = new HashMap<>();
     private final Map<String, Double> mMillis = new HashMap<>();
     private final Map<String, Double> mColdFactors = new HashMap<>();
 
@@ -34,6 +45,18 @@
         return known == null ? Math.max(1, FIRST_GUESS * objectiveMillis) : known;
     }
 
+    /** Returns the mean time of a request in a slot, which stragglers and cold work raise. */
+    public double meanMillis(String service, long objectiveMillis) {
+        Double known = mMeans.get(service);
+        return known == null ? FIRST_MEAN * millis(service, objectiveMillis) : known;
+    }
+
+    private void mean(String service, double millis, long objectiveMillis) {
+        double mean = meanMillis(service, objectiveMillis);
+        double seen = Math.min(millis, MAX_IN_MEAN * millis(service, objectiveMillis));
+        mMeans.put(service, mean + MEAN_GAIN * (seen - mean));
+    }
+
     /** Returns how many times longer the work takes for an unknown object, at least 1. */
     public double coldFactor(String service) {
         return mColdFactors.getOrDefault(service, FIRST_COLD_FACTOR);
@@ -41,11 +64,13 @@
 
     /** Takes over the time of an answer whose object the server knew. */
     public void warm(String service, double millis, long objectiveMillis) {
+        mean(service, millis, objectiveMillis);
         mMillis.put(service, towards(millis(service, objectiveMillis), millis));
     }
 
     /** Takes over the time of an answer whose object the server is not expected to know. */
     public void cold(String service, double millis, long objectiveMillis) {
+        mean(service, millis, objectiveMillis);
         double factor = millis / millis(service, objectiveMillis);
         mColdFactors.put(
                 service, Math.clamp(towards(coldFactor(service), factor), 1, MAX_COLD_FACTOR));
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/steering/RouteTableTest.java
@@ -0,0 +1,85 @@
+package org.redwingladder.steering;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RouteTableTest {
+    static Route route(String name, String host, String prefix, Destination... destinations) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                RequestKind.IDEMPOTENT,
+                800,
+                250,
+                1,
+                List.of(destinations),
+                2,
+                true,
+                Set.of());
+    }
+
+    static SteeringSettings settings(Route... routes) {
+        return new SteeringSettings(
+                1,
+                List.of(routes),
+                Map.of("a", new ServiceSpec("a", 100, 3000, 9.5)),
+                new ClientLimits(16384, 1 << 20, 3000, 15000));
+    }
+
+    private static final RouteTable TABLE =
+            RouteTable.of(
+                    settings(
+                            route("short", "shop.example", "/x/", new Destination("a", 1)),
+                            route("long", "shop.example", "/x/y/", new Destination("a", 1)),
+                            route("other", "other.example", "/", new Destination("a", 1))));
+
+    @Nested
+    class Match {
+        /** Guards against the first matching prefix winning over a longer one. */
+        @Test
+        void takesTheLongestPrefix() {
+            assertThat(TABLE.match("shop.example", "/x/y/z").name()).isEqualTo("long");
+            assertThat(TABLE.match("shop.example", "/x/yz").name()).isEqualTo("short");
+        }
+
+        /** Guards against a prefix that matches a part of a path segment. */
+        @Test
+        void needsWholeSegments() {
+            assertThat(TABLE.match("shop.example", "/xy/")).isNull();
+            assertThat(TABLE.match("shop.example", "/x")).isNull();
+        }
+
+        /** Guards against routes of another host name. */
+        @Test
+        void keepsHostsApart() {
+            assertThat(TABLE.match("unknown.example", "/x/")).isNull();
+            assertThat(TABLE.match("Other.Example:8080", "/any").name()).isEqualTo("other");
+        }
+    }
+
+    @Nested
+    class Checks {
+        /** Guards against settings that would send requests to a service that does not exist. */
+        @Test
+        void refusesUnknownServices() {
+            Route bad = route("bad", "h", "/", new Destination("missing", 1));
+            assertThatThrownBy(() -> settings(bad))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining("missing");
+        }
+
+        /** Guards against a prefix without slashes, which would match parts of segments. */
+        @Test
+        void refusesBarePrefixes() {
+            assertThatThrownBy(() -> route("bad", "h", "/x", new Destination("a", 1)))
+                    .hasMessageContaining("slash");
+        }
+    }
+}
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -81,6 +81,7 @@
         mWire = wire;
         mLog = log;
         mMembers = MemberTable.create(config.host());
+        mSteering = new Steering(config, mMembers, log);
         mWorker =
                 Xnio.getInstance()
                         .createWorker(
@@ -95,7 +96,6 @@
         mCaller =
                 HttpCaller.create(
                         mWorker, mBuffers, new CallerLimits(MAX_CONNECTIONS, IDLE_MILLIS));
-        mSteering = new Steering(config, mMembers, log);
         mState = new StateKeeper(codec, mThread, log, mSteering);
         mPeers = new PeerExchange(config, mMembers, mState, mCaller, mThread, log, mMetrics);
         mFlows = new FlowContext(mSteering, wire, mCaller, log, mMetrics, mDemand);
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/entry/TableImageTest.java
@@ -0,0 +1,57 @@
+package org.redwingladder.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TableImageTest {
+    private final TableImage mImage = new TableImage();
+
+    private static StoreRow row(String key, long version) {
+        return new StoreRow(key, version, new byte[] {1});
+    }
+
+    private static StoreRow removed(String key, long version) {
+        return new StoreRow(key, version, none());
+    }
+
+    private static byte @Nullable [] none() {
+        return null;
+    }
+
+    @Nested
+    class Replace {
+        /** Guards against going back when a read or another host is behind. */
+        @Test
+        void refusesAnOlderReading() {
+            assertThat(mImage.replace(List.of(row("a", 5)), 9, 9)).isTrue();
+            assertThat(mImage.replace(List.of(), 8, 8)).isFalse();
+            assertThat(mImage.rows()).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Apply {
+        /** Guards against a removed row that comes back with changes that are already held. */
+        @Test
+        void passesOverWhatItHolds() {
+            mImage.replace(List.of(row("a", 5)), 5, 5);
+            mImage.apply(List.of(removed("a", 7)), 7);
+            mImage.apply(List.of(row("a", 6)), 6);
+            assertThat(mImage.rows()).isEmpty();
+            assertThat(mImage.position()).isEqualTo(7);
+        }
+
+        /** Guards against a change that is lost because its table was idle. */
+        @Test
+        void movesOnWithoutChanges() {
+            mImage.replace(List.of(), 5, 5);
+            mImage.apply(List.of(), 50);
+            assertThat(mImage.position()).isEqualTo(50);
+            assertThat(mImage.changed()).isEqualTo(5);
+        }
+    }
+}
--- a/systemtest/src/test/java/org/redwingladder/systemtest/ModuleRulesTest.java
+++ b/systemtest/src/test/java/org/redwingladder/systemtest/ModuleRulesTest.java
@@ -2,10 +2,17 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +26,8 @@
         BASE + ".routing..",
         BASE + ".retry..",
         BASE + ".membership..",
-        BASE + ".once.."
+        BASE + ".once..",
+        BASE + ".steering.."
     };
     private static final String[] SHIPPED_WITH_DAEMON = {
         BASE + ".http..",
@@ -27,6 +35,7 @@
         BASE + ".request..",
         BASE + ".control..",
         BASE + ".supervisor..",
+        BASE + ".entry..",
         BASE + ".daemon.."
     };
 
@@ -83,6 +92,77 @@
         }
     }
 
+    @Nested
+    class Adapter {
+        private static final String ADAPTER = BASE + ".adapter..";
+
+        /** Guards against the platform's formats reaching the product. */
+        @Test
+        void isUsedByNobody() {
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackage(ADAPTER)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage(ADAPTER)
+                    .check(CLASSES);
+        }
+
+        /** Guards against decisions in the adapter: it translates to types and calls only. */
+        @Test
+        void decidesNothing() {
+            noClasses()
+                    .that()
+                    .resideInAPackage(ADAPTER)
+                    .should()
+                    .dependOnClassesThat()
+                    .haveSimpleNameEndingWith("Placer")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveSimpleNameEndingWith("Choice")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveSimpleNameEndingWith("Plan")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveSimpleNameEndingWith("Share")
+                    .check(CLASSES);
+        }
+
+        /** Guards against the platform's names in the sources of the product. */
+        @Test
+        void holdsThePlatformsNamesAlone() throws IOException {
+            Path root = Path.of("..").toRealPath();
+            List<String> found = new ArrayList<>();
+            for (String module : List.of("core", "http", "daemon", "tool", "bench")) {
+                try (Stream<Path> files = Files.walk(root.resolve(module).resolve("src/main"))) {
+                    for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                        String text = Files.readString(file);
+                        for (String name : PLATFORM_NAMES) {
+                            if (text.contains(name)) {
+                                found.add(file + ": " + name);
+                            }
+                        }
+                    }
+                }
+            }
+            assertThat(found).isEmpty();
+        }
+    }
+
+    private static final List<String> PLATFORM_NAMES =
+            List.of(
+                    "rows-tx",
+                    "rows-feed",
+                    "rows-get",
+                    "Server-Stamp",
+                    "Deadline-Ms",
+                    "Expect-Instance",
+                    "\"Not-Run\"",
+                    "Affinity-Key",
+                    "cold_per_s",
+                    "/-/resolve");
+
     @Nested
     class Daemon {
         /** Guards against shipping stand-ins or the operators' tool with the daemon. */
