--- a/core/src/test/java/org/redwingladder/steering/MembersTest.java
+++ b/core/src/test/java/org/redwingladder/steering/MembersTest.java
@@ -10,12 +10,19 @@
 
 class MembersTest {
     private static final long SECOND = 1_000_000_000L;
-    private static final Map<String, String> REGIONS =
-            Map.of("z1", "r1", "z2", "r1", "z3", "r2");
+    private static final Map<String, String> REGIONS = Map.of("z1", "r1", "z2", "r1", "z3", "r2");
 
     private static HostEntry host(String name, String zone, long started, long beats) {
         return new HostEntry(
-                name, started, beats, zone, name + ":1", name + ":2", true, true, Map.of("a", 30.0));
+                name,
+                started,
+                beats,
+                zone,
+                name + ":1",
+                name + ":2",
+                true,
+                true,
+                Map.of("a", 30.0));
     }
 
     private static HostEntry unreachable(HostEntry host) {
--- a/core/src/test/java/org/redwingladder/steering/PlacerTest.java
+++ b/core/src/test/java/org/redwingladder/steering/PlacerTest.java
@@ -155,7 +155,8 @@
         void leavesEvacuatedZonesAlone() {
             servers(3, 3);
             mBackends.evacuated(Set.of("z1"), 0);
-            Backend server = ((Placement.Send) place(route(1, Set.of()), "o", Set.of(), 0)).server();
+            Backend server =
+                    ((Placement.Send) place(route(1, Set.of()), "o", Set.of(), 0)).server();
             assertThat(server.entry().zone()).isEqualTo("z2");
         }
 
--- a/core/src/test/java/org/redwingladder/steering/SplitChooserTest.java
+++ b/core/src/test/java/org/redwingladder/steering/SplitChooserTest.java
@@ -25,7 +25,8 @@
             Map<String, Integer> counts = new HashMap<>();
             for (int i = 1; i <= 1000; i++) {
                 counts.merge(chooser.next(route), 1, Integer::sum);
-                assertThat(counts.getOrDefault("a", 0)).isBetween((int) (0.7 * i) - 1, i * 7 / 10 + 2);
+                assertThat(counts.getOrDefault("a", 0))
+                        .isBetween((int) (0.7 * i) - 1, i * 7 / 10 + 2);
             }
             assertThat(counts).containsEntry("a", 700).containsEntry("b", 200);
         }
