Split the request log from the request flow and take objectives into the plan

Cause: until the first answer the plan took a service time of less than 1 ms and exported nothing (PlacerTest exportsAPartThatFollowsTheRoom failed first); two processes were still there at the end of the time to stop; look-ups that were refused logged a line each.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -133,6 +133,7 @@
                 mFailureShare += FAILURE_GAIN * (1 - mFailureShare);
             }
             case CANCELLED -> {}
+            default -> throw new IllegalArgumentException("unknown result " + result);
         }
     }
 
--- a/core/src/main/java/org/redwingladder/steering/BackendSet.java
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -107,11 +107,6 @@
         return mUsable.getOrDefault(service, List.of());
     }
 
-    /** Returns whether a server may still get requests. */
-    public boolean contains(Backend backend) {
-        return usable(backend.entry().service()).contains(backend);
-    }
-
     /** Returns the region of a zone. */
     public String region(String zone) {
         return mRegionOfZone.getOrDefault(zone, zone);
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -75,6 +75,7 @@
     private long mPartsNanos;
     private boolean mDemandSeen;
     private Map<String, Integer> mMostUrgent = Map.of();
+    private Map<String, Long> mObjectives = Map.of();
     private Feeders mFeeders = server -> true;
 
     /** Tells how much longer a request takes that is served in another region. */
@@ -123,15 +124,18 @@
         mFeeders = feeders;
     }
 
-    /** Takes over the routes, from which the most urgent priority of each service follows. */
+    /** Takes over the routes, from which the priorities and objectives of services follow. */
     public void routes(List<Route> routes) {
         Map<String, Integer> urgent = new HashMap<>();
+        Map<String, Long> objectives = new HashMap<>();
         for (Route route : routes) {
             for (Destination destination : route.destinations()) {
                 urgent.merge(destination.service(), route.priority(), Math::min);
+                objectives.merge(destination.service(), route.objectiveMillis(), Math::max);
             }
         }
         mMostUrgent = urgent;
+        mObjectives = objectives;
     }
 
     /**
@@ -159,7 +163,11 @@
         Map<String, Double> slots = mBackends.slotsByRegion(service);
         return demand == null
                 ? RegionPlan.target(mRegion, mBackends.zonesByRegion(), slots, FULL_SECONDS)
-                : RegionPlan.target(mRegion, demand, slots, mTimes.meanMillis(service, 1) / 1000);
+                : RegionPlan.target(
+                        mRegion,
+                        demand,
+                        slots,
+                        mTimes.meanMillis(service, mObjectives.get(service)) / 1000);
     }
 
     /** Returns the parts of the regions that serve a service's requests. */
--- a/core/src/main/java/org/redwingladder/steering/Route.java
+++ b/core/src/main/java/org/redwingladder/steering/Route.java
@@ -30,6 +30,7 @@
         int maxAttempts,
         boolean affinity,
         Set<String> homeRegions) {
+    /** Checks the prefix and that the bounds are positive. */
     public Route {
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new IllegalArgumentException(
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallerLimits;
@@ -48,7 +49,7 @@
     private static final double ACCEPTING_PART = 0.48;
 
     /** The part of the time to stop after which open requests are ended. */
-    private static final double ENDING_PART = 0.95;
+    private static final double ENDING_PART = 0.9;
 
     private static final long STOP_CHECK_MILLIS = 50;
 
@@ -243,10 +244,10 @@
 
     private final class StoreResult<T> implements PlatformStore.Receiver<T> {
         private final String mWhat;
-        private final java.util.function.Consumer<T> mDone;
+        private final Consumer<T> mDone;
         private final Runnable mAgain;
 
-        StoreResult(String what, java.util.function.Consumer<T> done, Runnable again) {
+        StoreResult(String what, Consumer<T> done, Runnable again) {
             mWhat = what;
             mDone = done;
             mAgain = again;
@@ -290,11 +291,6 @@
                         mMembers.alive(now), asked.zone(), asked.region(), mConfig.regionOfZone());
         if (!heard || addresses.isEmpty()) {
             mMetrics.count("lookup.refused");
-            mLog.event("lookup", "refused")
-                    .with("zone", asked.zone())
-                    .with("heard", heard)
-                    .with("alive", mMembers.alive(now).size())
-                    .write();
             Responses.text(exchange, 503, "no host is known yet\n");
             return;
         }
--- a/daemon/src/main/java/org/redwingladder/entry/FlowContext.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FlowContext.java
@@ -23,7 +23,7 @@
     private static final byte[] EMPTY = new byte[0];
 
     /** One of this many answered requests is logged. */
-    private static final int SAMPLED_EACH = 1;
+    private static final int SAMPLED_EACH = 16;
 
     private static final long UNKNOWN_RETRY_MILLIS = 250;
 
--- a/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -11,7 +11,6 @@
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AnswerHandler;
-import org.redwingladder.http.AnswerLostException;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.CallRequest;
@@ -60,7 +59,7 @@
     private final String mService;
     private final WireFormat.ClientHeaders mClient;
     private final byte[] mBody;
-    private final long mArrivedNanos;
+    private final RequestLog mLog;
     private final long mUntilNanos;
     private final Set<Backend> mTried = new HashSet<>();
     private final List<Attempt> mOpen = new ArrayList<>();
@@ -82,7 +81,7 @@
         mRoute = arrival.route();
         mService = arrival.service();
         mClient = arrival.client();
-        mArrivedNanos = arrival.arrivedNanos();
+        mLog = new RequestLog(context, arrival);
         mUntilNanos = arrival.untilNanos();
         mBody = body;
     }
@@ -148,22 +147,11 @@
         if (place() instanceof Placement.Send send
                 && send.waitMillis() <= HEDGE_MAX_WAIT * send.serviceMillis()
                 && mContext.steering().tryRepeat(mService)) {
-            repeated("slow");
+            mLog.repeated("slow");
             send(send);
         }
     }
 
-    private void repeated(String reason) {
-        mContext.metrics().count("request.repeat." + reason);
-        mContext.log()
-                .event("request", "repeat")
-                .with("id", mClient.requestId())
-                .with("service", mService)
-                .with("reason", reason)
-                .with("millis", elapsedMillis())
-                .write();
-    }
-
     /** Goes on after a send that brought no answer for the client. */
     private void again(SendResult result) {
         mLastResult = result;
@@ -172,7 +160,7 @@
         }
         if (result != SendResult.TIMED_OUT && maySendAgain(result)) {
             if (place() instanceof Placement.Send send && payFor(result)) {
-                repeated(result.name());
+                mLog.repeated(result.name());
                 send(send);
                 return;
             }
@@ -205,16 +193,7 @@
     }
 
     private void refuse(String reason, long retryAfterMillis) {
-        mContext.metrics().count("request.refused." + reason);
-        mContext.log()
-                .event("request", "refused")
-                .with("id", mClient.requestId())
-                .with("route", mRoute.name())
-                .with("service", mService)
-                .with("reason", reason)
-                .with("tried", mTried.size())
-                .with("millis", elapsedMillis())
-                .write();
+        mLog.refused(reason, mTried.size());
         finish();
         // Clients that are refused together should not come back together.
         double spread = 0.75 + 0.75 * ThreadLocalRandom.current().nextDouble();
@@ -224,34 +203,11 @@
     }
 
     private void fail(int status, String reason) {
-        mContext.metrics().count("request.failed." + status);
-        mContext.log()
-                .event("request", "failed")
-                .with("id", mClient.requestId())
-                .with("route", mRoute.name())
-                .with("service", mService)
-                .with("status", status)
-                .with("reason", reason)
-                .with("last", mLastResult)
-                .with("server", names())
-                .with("millis", elapsedMillis())
-                .write();
+        mLog.failed(status, reason, mLastResult, mTried);
         finish();
         mContext.respond(mExchange, status, reason + "\n");
     }
 
-    private String names() {
-        StringBuilder names = new StringBuilder();
-        for (Backend backend : mTried) {
-            names.append(names.isEmpty() ? "" : ",").append(backend.entry().id());
-        }
-        return names.toString();
-    }
-
-    private long elapsedMillis() {
-        return (System.nanoTime() - mArrivedNanos) / 1_000_000;
-    }
-
     /** Ends the flow and cancels what is still out. */
     private void finish() {
         mDone = true;
@@ -264,30 +220,6 @@
         mContext.ended(this);
     }
 
-    private void answered(Attempt attempt, int status) {
-        long millis = elapsedMillis();
-        mContext.metrics().answered(mService, millis);
-        if (mContext.sampled()) {
-            mContext.log()
-                    .event("request", "answered")
-                    .with("id", mClient.requestId())
-                    .with("route", mRoute.name())
-                    .with("server", attempt.mBackend.entry().id())
-                    .with("status", status)
-                    .with("wait", (long) attempt.mPlacement.waitMillis())
-                    .with("work", (long) attempt.mPlacement.serviceMillis())
-                    .with("millis", millis)
-                    .with("warm", attempt.mPlacement.warm())
-                    .with("sent", (attempt.mSentNanos - mArrivedNanos) / 1_000_000)
-                    .with("slow", (long) (100 * attempt.mBackend.slowness()))
-                    .with("load", (long) (100 * attempt.mLoad))
-                    .with("object", mClient.objectKey())
-                    .with("service", mService)
-                    .with("sends", mTried.size())
-                    .write();
-        }
-    }
-
     /** Carries one send. */
     private final class Attempt implements AnswerHandler {
         private final Placement.Send mPlacement;
@@ -366,7 +298,7 @@
                 return;
             }
             if (result == SendResult.ANSWERED) {
-                observe();
+                mContext.steering().observe(mRoute, mService, mPlacement, mSentNanos);
                 deliver(answer);
             } else if (result == SendResult.FAILED && !canImprove()) {
                 deliver(answer);
@@ -398,23 +330,11 @@
             return status >= 500 ? SendResult.FAILED : SendResult.ANSWERED;
         }
 
-        private void observe() {
-            if (mPlacement.waitMillis() > 0) {
-                return;
-            }
-            double millis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI;
-            if (mPlacement.warm()) {
-                mContext.steering().times().warm(mService, millis, mRoute.objectiveMillis());
-            } else {
-                mContext.steering().times().cold(mService, millis, mRoute.objectiveMillis());
-            }
-        }
-
         private void deliver(WholeAnswer answer) {
             if (mDone) {
                 return;
             }
-            answered(this, answer.status());
+            mLog.answered(mPlacement, mLoad, mSentNanos, answer.status());
             finish();
             mContext.deliver(mExchange, answer);
         }
@@ -432,12 +352,12 @@
             // The answer goes to the client from here on; other sends are of no use.
             mOpen.remove(this);
             mContext.deliver(mExchange, answer, new Transfer());
-            answered(this, answer.status());
+            mLog.answered(mPlacement, mLoad, mSentNanos, answer.status());
         }
 
         @Override
         public void failed(CallException cause) {
-            SendResult result = result(cause);
+            SendResult result = Steering.resultOf(cause);
             if (cause.neverSent()) {
                 mMayHaveRun--;
                 mReached--;
@@ -448,16 +368,6 @@
             }
         }
 
-        private SendResult result(CallException cause) {
-            if (cause.neverSent()) {
-                return SendResult.UNREACHABLE;
-            }
-            return cause instanceof AnswerLostException lost
-                            && lost.reason() == AnswerLostException.Cause.DEADLINE
-                    ? SendResult.TIMED_OUT
-                    : SendResult.LOST;
-        }
-
         private final class Transfer implements StreamedAnswer.TransferHandler {
             @Override
             public void transferred(long bytes) {
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.redwingladder.steering.Backend;
+import org.redwingladder.http.AnswerLostException;
+import org.redwingladder.http.CallException;
 import org.redwingladder.steering.BackendSet;
 import org.redwingladder.steering.HostEntry;
 import org.redwingladder.steering.MemberTable;
@@ -16,6 +18,7 @@
 import org.redwingladder.steering.RetryShare;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
+import org.redwingladder.steering.SendResult;
 import org.redwingladder.steering.ServerEntry;
 import org.redwingladder.steering.ServiceTimes;
 import org.redwingladder.steering.SplitChooser;
@@ -29,6 +32,8 @@
     /** The hosts that feed a cold server, as {@code ColdGate} assumes. */
     private static final int COLD_FEEDERS = 3;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final EntryConfig mConfig;
     private final MemberTable mMembers;
     private final EventLog mLog;
@@ -38,7 +43,7 @@
     private final Placer mPlacer;
     private final Map<String, RetryShare> mRetries = new HashMap<>();
     private @Nullable RouteTable mRoutes;
-    private java.util.function.Consumer<SteeringSettings> mOnSettings = settings -> {};
+    private Consumer<SteeringSettings> mOnSettings = settings -> {};
 
     Steering(EntryConfig config, MemberTable members, EventLog log) {
         mConfig = config;
@@ -54,7 +59,7 @@
         mPlacer.feeders(this::feeds);
     }
 
-    void onSettings(java.util.function.Consumer<SteeringSettings> receiver) {
+    void onSettings(Consumer<SteeringSettings> receiver) {
         mOnSettings = receiver;
     }
 
@@ -105,15 +110,34 @@
         return mPlacer.place(request, System.nanoTime());
     }
 
-    /** Returns whether a server may still get requests. */
-    boolean usable(Backend backend) {
-        return mBackends.contains(backend);
-    }
-
     ServiceTimes times() {
         return mTimes;
     }
 
+    /** Learns from the time of an answer that did not wait in the server's queue. */
+    void observe(Route route, String service, Placement.Send placement, long sentNanos) {
+        if (placement.waitMillis() > 0) {
+            return;
+        }
+        double millis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
+        if (placement.warm()) {
+            mTimes.warm(service, millis, route.objectiveMillis());
+        } else {
+            mTimes.cold(service, millis, route.objectiveMillis());
+        }
+    }
+
+    /** Returns what the failure of a call says of its server. */
+    static SendResult resultOf(CallException cause) {
+        if (cause.neverSent()) {
+            return SendResult.UNREACHABLE;
+        }
+        return cause instanceof AnswerLostException lost
+                        && lost.reason() == AnswerLostException.Cause.DEADLINE
+                ? SendResult.TIMED_OUT
+                : SendResult.LOST;
+    }
+
     void countRequest(String service) {
         retries(service).request(System.nanoTime());
     }
