--- a/daemon/src/main/java/org/redwingladder/entry/EntryConfig.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfig.java
@@ -47,6 +47,21 @@
             double retryAllowance,
             long retryWindowMillis) {}
 
+    /** Returns this configuration with the seeds and bounds of another one. */
+    EntryConfig withSeedsAndBoundsOf(EntryConfig other) {
+        return new EntryConfig(
+                host,
+                zone,
+                regionOfZone,
+                clients,
+                readiness,
+                lookups,
+                peers,
+                other.seeds,
+                store,
+                other.bounds);
+    }
+
     /** Returns the region of this host. */
     public String region() {
         String region = regionOfZone.get(zone);
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -53,7 +53,7 @@
 
     private static final long STOP_CHECK_MILLIS = 50;
 
-    private final EntryConfig mConfig;
+    private EntryConfig mConfig;
     private final WireFormat mWire;
     private final EventLog mLog;
     private final EntryMetrics mMetrics = new EntryMetrics();
@@ -163,6 +163,30 @@
                 .write();
     }
 
+    /**
+     * Applies a configuration that was read again. Seeds and bounds take effect at once, the rest
+     * at the next start of the process.
+     */
+    public void reload(EntryConfig config) {
+        mThread.execute(
+                () -> {
+                    boolean restart = !config.withSeedsAndBoundsOf(mConfig).equals(mConfig);
+                    mLog.event("host", "reload")
+                            .with("changed", !config.equals(mConfig))
+                            .with("restartNeeded", restart)
+                            .write();
+                    EntryConfig applied = mConfig.withSeedsAndBoundsOf(config);
+                    mConfig = applied;
+                    mSteering.bounds(applied.bounds());
+                    mPeers.seeds(applied.seeds());
+                });
+    }
+
+    /** Notes that a configuration that was read again cannot be used; the one in force stays. */
+    public void reloadFailed(String cause) {
+        mLog.event("host", "reload-failed").with("cause", cause).write();
+    }
+
     private long settingsVersion() {
         var settings = mState.settings();
         return settings == null ? 0 : settings.version();
--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -52,6 +52,7 @@
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
     private final Set<String> mUnreachable = new HashSet<>();
+    private List<InetSocketAddress> mSeeds;
     private Self mSelf = () -> null;
     private Restart mRestart = started -> {};
     private XnioExecutor.@Nullable Key mTimer;
@@ -78,6 +79,7 @@
             EventLog log,
             EntryMetrics metrics) {
         mConfig = config;
+        mSeeds = config.seeds();
         mMembers = members;
         mState = state;
         mCaller = caller;
@@ -89,7 +91,7 @@
     void start(Self self, Restart restart) {
         mSelf = self;
         mRestart = restart;
-        for (InetSocketAddress seed : mConfig.seeds()) {
+        for (InetSocketAddress seed : mSeeds) {
             if (!seed.equals(mConfig.peers())) {
                 exchange(Addresses.format(seed));
             }
@@ -97,6 +99,11 @@
         tick();
     }
 
+    /** Replaces the addresses that are tried while no other host is known. */
+    void seeds(List<InetSocketAddress> seeds) {
+        mSeeds = List.copyOf(seeds);
+    }
+
     void stop() {
         if (mTimer != null) {
             mTimer.remove();
@@ -143,10 +150,8 @@
             HostEntry any = mMembers.partner(null, now, random);
             if (any != null) {
                 exchange(any.peerAddress());
-            } else if (!mConfig.seeds().isEmpty()) {
-                exchange(
-                        Addresses.format(
-                                mConfig.seeds().get(random.nextInt(mConfig.seeds().size()))));
+            } else if (!mSeeds.isEmpty()) {
+                exchange(Addresses.format(mSeeds.get(random.nextInt(mSeeds.size()))));
             }
         }
         long jitter = random.nextLong(PERIOD_MILLIS / 4);
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -42,11 +42,13 @@
     private final SplitChooser mSplits = new SplitChooser();
     private final Placer mPlacer;
     private final Map<String, RetryShare> mRetries = new HashMap<>();
+    private EntryConfig.Bounds mBounds;
     private @Nullable RouteTable mRoutes;
     private Consumer<SteeringSettings> mOnSettings = settings -> {};
 
     Steering(EntryConfig config, MemberTable members, EventLog log) {
         mConfig = config;
+        mBounds = config.bounds();
         mMembers = members;
         mLog = log;
         mBackends = BackendSet.create(config.regionOfZone());
@@ -63,6 +65,14 @@
         mOnSettings = receiver;
     }
 
+    /** Applies changed bounds; budgets start anew. */
+    void bounds(EntryConfig.Bounds bounds) {
+        if (!bounds.equals(mBounds)) {
+            mBounds = bounds;
+            mRetries.clear();
+        }
+    }
+
     private boolean feeds(String serverId) {
         List<String> names = new ArrayList<>();
         for (HostEntry host : mMembers.alive(System.nanoTime())) {
@@ -148,7 +158,7 @@
     }
 
     private RetryShare retries(String service) {
-        EntryConfig.Bounds bounds = mConfig.bounds();
+        EntryConfig.Bounds bounds = mBounds;
         return mRetries.computeIfAbsent(
                 service,
                 s ->
