--- a/core/src/main/java/org/redwingladder/steering/ColdGate.java
+++ b/core/src/main/java/org/redwingladder/steering/ColdGate.java
@@ -7,9 +7,6 @@
  * rate; the others send nothing while the server is cold. Not thread-safe.
  */
 final class ColdGate {
-    /** The hosts that feed one cold server. Few hosts waste less of the rate on rounding. */
-    static final int FEEDERS = 3;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     private long mNextNanos;
@@ -21,7 +18,7 @@
             return false;
         }
         mUsed = true;
-        mNextNanos = nowNanos + (long) (NANOS_PER_SECOND * FEEDERS / requestsPerSecond);
+        mNextNanos = nowNanos + (long) (NANOS_PER_SECOND * Placer.COLD_FEEDERS / requestsPerSecond);
         return true;
     }
 
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -18,6 +18,9 @@
  * queues stay short and what is admitted is answered in time. Not thread-safe.
  */
 public final class Placer {
+    /** The hosts that feed one cold server. Few hosts waste less of the rate on rounding. */
+    public static final int COLD_FEEDERS = 3;
+
     /**
      * The part of the extra work for an unknown object that is expected at an object's second
      * server: what the first one has no room for always goes there, so that it often knows the
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -29,9 +29,6 @@
     /** A round trip between regions; the deployments of today have 40 to 70 ms. */
     private static final double CROSS_REGION_MILLIS = 50;
 
-    /** The hosts that feed a cold server, as {@code ColdGate} assumes. */
-    private static final int COLD_FEEDERS = 3;
-
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final EntryConfig mConfig;
@@ -82,7 +79,7 @@
         }
         List<String> order = Rendezvous.order(serverId, names);
         int rank = order.indexOf(mConfig.host());
-        return rank >= 0 && rank < COLD_FEEDERS;
+        return rank >= 0 && rank < Placer.COLD_FEEDERS;
     }
 
     @Override
