Use all free servers where unknown objects cost little

Cause: the bound on servers that do not know an object held also where learned times show that this costs nothing; requests were refused beside free servers. Change: below a factor of 1.3 there is no bound.

--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -38,6 +38,9 @@
      */
     private static final double SPILL_LOAD = 0.5;
 
+    /** Below this factor an unknown object costs too little to keep requests from free servers. */
+    private static final double NOTABLE_COLD_FACTOR = 1.3;
+
     /** Work of a server that has just started, as a multiple of the usual time. */
     private static final double COLD_SERVER = 2;
 
@@ -300,7 +303,8 @@
         double service = mTimes.millis(request.service(), request.route().objectiveMillis());
         boolean affinity = request.route().affinity() && request.objectKey() != null;
         int warm = affinity ? 1 : ordered.size();
-        double coldObject = service * (mTimes.coldFactor(request.service()) - 1);
+        double coldFactor = mTimes.coldFactor(request.service());
+        double coldObject = service * (coldFactor - 1);
         Choice best = null;
         for (int rank = 0; rank < ordered.size(); rank++) {
             Backend backend = ordered.get(rank);
@@ -311,7 +315,9 @@
             int slots = backend.entry().slots();
             double ahead = backend.expectedLoad(nowNanos) + 1 - slots;
             double unknown = rank < warm ? 0 : coldObject * (rank == warm ? SECOND_SERVER : 1);
-            if (rank >= warm && best != null && ahead + slots > spillLoad(rank - warm) * slots) {
+            if (rank >= warm
+                    && best != null
+                    && ahead + slots > spillLoad(rank - warm, coldFactor) * slots) {
                 continue;
             }
             double wait = Math.max(0, ahead) * service * slowness / slots;
@@ -330,7 +336,10 @@
         return best;
     }
 
-    private static double spillLoad(int rank) {
+    private static double spillLoad(int rank, double coldFactor) {
+        if (coldFactor < NOTABLE_COLD_FACTOR) {
+            return Double.MAX_VALUE;
+        }
         return rank == 0 ? SECOND_LOAD : SPILL_LOAD;
     }
 
--- a/core/src/test/java/org/redwingladder/steering/PlacerTest.java
+++ b/core/src/test/java/org/redwingladder/steering/PlacerTest.java
@@ -138,6 +138,23 @@
         }
     }
 
+    @Nested
+    class NoAffinityGain {
+        /** Guards against refusing requests while servers that would do as well are free. */
+        @Test
+        void usesAllServersWhereObjectsNeedNoWarmth() {
+            servers(4, 0);
+            for (int i = 0; i < 300; i++) {
+                mTimes.warm("a", 100, 250);
+                mTimes.cold("a", 100, 250);
+            }
+            for (int i = 0; i < 16; i++) {
+                sent(place(route(1, Set.of()), "o", Set.of(), 0), 0);
+            }
+            assertThat(mBackends.usable("a")).allMatch(server -> server.inFlight() >= 3);
+        }
+    }
+
     @Nested
     class Regions {
         /** Guards against requests that leave their home regions. */
