--- a/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
+++ b/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
@@ -224,6 +224,10 @@
         @Test
         void aClosedSiteIsLeftWithinTheBudget() throws Exception {
             mNear.close();
+            // A payment on a connection whose end is not noticed yet has an unknown outcome.
+            Eventually.until(
+                    "the pooled connections are closed",
+                    () -> mDeployment.host("e1").mCaller.openConnections(mNear.address()) == 0);
             int answered = 0;
             for (int i = 0; i < 20; i++) {
                 answered += mDeployment.post("e1", "/pay", "5").status() == 200 ? 1 : 0;
