Log what decided a request and when a server is left out

Cause: a refused line did not say which wait was weighed against which bound, a failed line not how long each server had the request, and nothing told that a server was ejected or came back; answers later than their objective were only sampled. Change: sends with their times and ends, the wait and the bound, the version of the settings, server-ejected, server-returned and client-gone lines; late answers are always logged; request lines have a bound of 400 a second, the rest is counted as dropped. FeederChoice keeps its choice until the hosts change.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -88,6 +88,16 @@
         return mEjected;
     }
 
+    /** Returns how often the server was ejected since its last answer. */
+    public int ejections() {
+        return mEjections;
+    }
+
+    /** Returns until when an ejected server gets nothing. */
+    public long ejectedUntilNanos() {
+        return mEjectedUntilNanos;
+    }
+
     /** Counts a request that is about to be sent. */
     public void sent(long nowNanos) {
         mFlights.addLast(nowNanos);
--- a/core/src/main/java/org/redwingladder/steering/Placement.java
+++ b/core/src/main/java/org/redwingladder/steering/Placement.java
@@ -19,8 +19,17 @@
      *
      * @param reason why there is no place
      * @param retryAfterMillis when there is likely to be room
+     * @param waitMillis the expected wait at the best server, 0 if there is none
+     * @param allowedMillis the wait that would have been accepted
+     * @param servers the servers that were weighed
      */
-    record Refuse(Reason reason, long retryAfterMillis) implements Placement {}
+    record Refuse(
+            Reason reason,
+            long retryAfterMillis,
+            double waitMillis,
+            double allowedMillis,
+            int servers)
+            implements Placement {}
 
     /** Names why a request has no place. */
     enum Reason {
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -185,7 +185,8 @@
     public Placement place(Request request, long nowNanos) {
         Map<String, List<Backend>> byRegion = candidates(request, nowNanos);
         if (byRegion.isEmpty()) {
-            return new Placement.Refuse(Placement.Reason.NO_SERVER, MIN_RETRY_AFTER_MILLIS * 3);
+            return new Placement.Refuse(
+                    Placement.Reason.NO_SERVER, MIN_RETRY_AFTER_MILLIS * 3, 0, 0, 0);
         }
         String region = region(request, byRegion.keySet());
         Choice best = best(byRegion.get(region), request, nowNanos);
@@ -193,7 +194,11 @@
         if (best.mWaitMillis > allowed) {
             long after = (long) (best.mWaitMillis - allowed) + MIN_RETRY_AFTER_MILLIS;
             return new Placement.Refuse(
-                    Placement.Reason.OVERLOADED, Math.min(after, MAX_RETRY_AFTER_MILLIS));
+                    Placement.Reason.OVERLOADED,
+                    Math.min(after, MAX_RETRY_AFTER_MILLIS),
+                    best.mWaitMillis,
+                    allowed,
+                    byRegion.get(region).size());
         }
         if (best.mBackend.cold(nowNanos)) {
             best.mBackend.coldGate().tryPass(coldRate(request.service()), nowNanos);
--- a/daemon/src/main/java/org/redwingladder/entry/EventLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EventLog.java
@@ -23,6 +23,12 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int MAX_QUEUED_LINES = 4096;
 
+    /** Lines on requests that a host writes in a second, about 100 KB; more are dropped. */
+    private static final int MAX_REQUEST_LINES = 400;
+
+    private static final String REQUEST_LINE = "{\"part\":\"request\"";
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
     private final String mHost;
 
     private EventLog(String host) {
@@ -82,6 +88,8 @@
         private final ArrayBlockingQueue<String> mLines =
                 new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
         private final AtomicLong mDropped = new AtomicLong();
+        private long mSecondEndNanos = System.nanoTime();
+        private int mRequestLines;
 
         QueueHandler(PrintStream out) {
             Thread writer = new Thread(() -> drain(out), "log");
@@ -97,12 +105,7 @@
                     for (String more = mLines.poll(); more != null; more = mLines.poll()) {
                         batch.append(more).append('\n');
                     }
-                    long dropped = mDropped.getAndSet(0);
-                    if (dropped > 0) {
-                        batch.append("{\"part\":\"log\",\"event\":\"dropped\",\"lines\":")
-                                .append(dropped)
-                                .append("}\n");
-                    }
+                    appendDropped(batch);
                     out.print(batch);
                     out.flush();
                     batch.setLength(0);
@@ -112,13 +115,37 @@
             }
         }
 
+        private void appendDropped(StringBuilder batch) {
+            long dropped = mDropped.getAndSet(0);
+            if (dropped > 0) {
+                batch.append("{\"part\":\"log\",\"event\":\"dropped\",\"time\":")
+                        .append(System.currentTimeMillis())
+                        .append(",\"lines\":")
+                        .append(dropped)
+                        .append("}\n");
+            }
+        }
+
         @Override
         public void publish(LogRecord entry) {
-            if (isLoggable(entry) && !mLines.offer(line(entry))) {
+            if (!isLoggable(entry)) {
+                return;
+            }
+            String line = line(entry);
+            if ((line.startsWith(REQUEST_LINE) && !mayWriteRequestLine()) || !mLines.offer(line)) {
                 mDropped.incrementAndGet();
             }
         }
 
+        private synchronized boolean mayWriteRequestLine() {
+            long now = System.nanoTime();
+            if (now - mSecondEndNanos >= 0) {
+                mSecondEndNanos = now + SECOND_NANOS;
+                mRequestLines = 0;
+            }
+            return ++mRequestLines <= MAX_REQUEST_LINES;
+        }
+
         private static String line(LogRecord entry) {
             String message = String.valueOf(entry.getMessage());
             if (EventLog.class.getName().equals(entry.getLoggerName())) {
--- a/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -93,16 +93,18 @@
                 send(send);
                 scheduleHedge(send);
             }
-            case Placement.Refuse refuse ->
-                    refuse(refuse.reason().name(), refuse.retryAfterMillis());
+            case Placement.Refuse refuse -> {
+                mLog.refused(refuse);
+                refuse(refuse.reason().name(), refuse.retryAfterMillis());
+            }
         }
     }
 
     /** Stops all work for a client that has gone. */
     void clientGone() {
         if (!mDone) {
-            mContext.metrics().count("request.client-gone");
             finish();
+            mLog.clientGone();
         }
     }
 
@@ -184,6 +186,7 @@
 
     private void giveUp(SendResult result) {
         if (mMayHaveRun == 0) {
+            mLog.refused(result.name());
             refuse(result.name(), (long) mContext.steering().times().millis(mService, 200));
         } else if (result == SendResult.TIMED_OUT) {
             fail(504, "no answer in time");
@@ -193,7 +196,6 @@
     }
 
     private void refuse(String reason, long retryAfterMillis) {
-        mLog.refused(reason, mTried.size());
         finish();
         // Clients that are refused together should not come back together.
         double spread = 0.75 + 0.75 * ThreadLocalRandom.current().nextDouble();
@@ -203,8 +205,8 @@
     }
 
     private void fail(int status, String reason) {
-        mLog.failed(status, reason, mLastResult, mTried);
         finish();
+        mLog.failed(status, reason, mLastResult);
         mContext.respond(mExchange, status, reason + "\n");
     }
 
@@ -282,12 +284,18 @@
             }
             mEnded = true;
             mOpen.remove(this);
+            boolean ejected = mBackend.ejected();
+            int ejections = mBackend.ejections();
             mBackend.ended(
                     result,
                     mSentNanos,
                     mPlacement.waitMillis() + mPlacement.serviceMillis(),
                     System.nanoTime());
             mContext.metrics().count("send." + result);
+            mLog.ended(mBackend, mSentNanos, result);
+            if (mBackend.ejected() != ejected || mBackend.ejections() > ejections) {
+                mLog.useChanged(mBackend, result);
+            }
             return true;
         }
 
--- a/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
@@ -1,6 +1,5 @@
 package org.redwingladder.entry;
 
-import java.util.Collection;
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.Placement;
 import org.redwingladder.steering.SendResult;
@@ -11,6 +10,7 @@
 
     private final FlowContext mContext;
     private final FlowContext.Arrival mArrival;
+    private final StringBuilder mSends = new StringBuilder(0);
 
     RequestLog(FlowContext context, FlowContext.Arrival arrival) {
         mContext = context;
@@ -24,60 +24,113 @@
                 .with("route", mArrival.route().name())
                 .with("service", mArrival.service())
                 .with("object", mArrival.client().objectKey())
+                .with("settings", mContext.steering().settingsVersion())
                 .with("millis", elapsedMillis());
     }
 
     private long elapsedMillis() {
-        return (System.nanoTime() - mArrival.arrivedNanos()) / NANOS_PER_MILLI;
+        return sinceArrival(System.nanoTime());
+    }
+
+    private long sinceArrival(long nanos) {
+        return (nanos - mArrival.arrivedNanos()) / NANOS_PER_MILLI;
+    }
+
+    /**
+     * Notes the end of a send: the server, when it was sent and when it ended in milliseconds since
+     * the arrival, and how it ended.
+     */
+    void ended(Backend server, long sentNanos, SendResult result) {
+        mSends.append(mSends.isEmpty() ? "" : " ")
+                .append(server.entry().id())
+                .append(':')
+                .append(sinceArrival(sentNanos))
+                .append('-')
+                .append(elapsedMillis())
+                .append(':')
+                .append(result);
+    }
+
+    /** Notes that a send changed whether its server is used. */
+    void useChanged(Backend server, SendResult result) {
+        boolean ejected = server.ejected();
+        mContext.metrics().count(ejected ? "server.ejected." + result : "server.returned");
+        EventLog.Line line =
+                mContext.log()
+                        .event("state", ejected ? "server-ejected" : "server-returned")
+                        .with("server", server.entry().id())
+                        .with("service", server.entry().service())
+                        .with("result", result)
+                        .with("id", mArrival.client().requestId());
+        if (ejected) {
+            long left = server.ejectedUntilNanos() - System.nanoTime();
+            line.with("forMillis", left / NANOS_PER_MILLI).with("times", server.ejections());
+        }
+        line.write();
+    }
+
+    /** Notes that the client left before its answer. */
+    void clientGone() {
+        mContext.metrics().count("request.client-gone");
+        line("client-gone").with("sends", mSends).write();
     }
 
     void repeated(String reason) {
         mContext.metrics().count("request.repeat." + reason);
-        line("repeat").with("reason", reason).write();
+        line("repeat").with("reason", reason).with("sends", mSends).write();
+    }
+
+    /** Notes a refusal that follows from the state of the servers. */
+    void refused(Placement.Refuse refuse) {
+        mContext.metrics().count("request.refused." + refuse.reason());
+        line("refused")
+                .with("reason", refuse.reason())
+                .with("wait", (long) refuse.waitMillis())
+                .with("allowed", (long) refuse.allowedMillis())
+                .with("servers", refuse.servers())
+                .with("retryAfter", refuse.retryAfterMillis())
+                .write();
     }
 
-    void refused(String reason, int tried) {
+    /** Notes a refusal of a request that no server took. */
+    void refused(String reason) {
         mContext.metrics().count("request.refused." + reason);
-        line("refused").with("reason", reason).with("tried", tried).write();
+        line("refused").with("reason", reason).with("sends", mSends).write();
     }
 
-    void failed(int status, String reason, SendResult last, Collection<Backend> tried) {
+    void failed(int status, String reason, SendResult last) {
         mContext.metrics().count("request.failed." + status);
         line("failed")
                 .with("status", status)
                 .with("reason", reason)
                 .with("last", last)
-                .with("servers", names(tried))
+                .with("sends", mSends)
                 .write();
     }
 
-    private static String names(Collection<Backend> tried) {
-        StringBuilder names = new StringBuilder();
-        for (Backend backend : tried) {
-            names.append(names.isEmpty() ? "" : ",").append(backend.entry().id());
-        }
-        return names.toString();
-    }
-
     /**
      * Notes an answer of a backend server.
      *
      * @param load the requests that the server was expected to hold when it was chosen
      */
     void answered(Placement.Send placement, double load, long sentNanos, int status) {
-        mContext.metrics().answered(mArrival.service(), elapsedMillis());
-        if (!mContext.sampled()) {
+        long millis = elapsedMillis();
+        mContext.metrics().answered(mArrival.service(), millis);
+        boolean late = millis > mArrival.route().objectiveMillis();
+        if (!mContext.sampled() && !late) {
             return;
         }
         line("answered")
                 .with("status", status)
                 .with("server", placement.server().entry().id())
-                .with("sent", (sentNanos - mArrival.arrivedNanos()) / NANOS_PER_MILLI)
+                .with("objective", mArrival.route().objectiveMillis())
+                .with("sent", sinceArrival(sentNanos))
                 .with("wait", (long) placement.waitMillis())
                 .with("work", (long) placement.serviceMillis())
                 .with("warm", placement.warm())
                 .with("slowPercent", (long) (100 * placement.server().slowness()))
                 .with("loadPercent", (long) (100 * load))
+                .with("sends", mSends)
                 .write();
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -10,11 +10,11 @@
 import org.redwingladder.http.AnswerLostException;
 import org.redwingladder.http.CallException;
 import org.redwingladder.steering.BackendSet;
+import org.redwingladder.steering.FeederChoice;
 import org.redwingladder.steering.HostEntry;
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.Placement;
 import org.redwingladder.steering.Placer;
-import org.redwingladder.steering.Rendezvous;
 import org.redwingladder.steering.RetryShare;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
@@ -29,6 +29,9 @@
     /** A round trip between regions; the deployments of today have 40 to 70 ms. */
     private static final double CROSS_REGION_MILLIS = 50;
 
+    /** Time for which the list of hosts that feed cold servers holds; one exchange takes longer. */
+    private static final long FEEDERS_NANOS = 200_000_000L;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final EntryConfig mConfig;
@@ -39,9 +42,12 @@
     private final SplitChooser mSplits = new SplitChooser();
     private final Placer mPlacer;
     private final Map<String, RetryShare> mRetries = new HashMap<>();
+    private final FeederChoice mFeeders;
+    private long mFeedersUntilNanos = System.nanoTime();
     private EntryConfig.Bounds mBounds;
     private @Nullable RouteTable mRoutes;
     private Consumer<SteeringSettings> mOnSettings = settings -> {};
+    private long mSettingsVersion;
 
     Steering(EntryConfig config, MemberTable members, EventLog log) {
         mConfig = config;
@@ -55,6 +61,7 @@
                         mBackends,
                         mTimes,
                         (from, to) -> from.equals(to) ? 0 : CROSS_REGION_MILLIS);
+        mFeeders = FeederChoice.create(config.host());
         mPlacer.feeders(this::feeds);
     }
 
@@ -71,20 +78,24 @@
     }
 
     private boolean feeds(String serverId) {
-        List<String> names = new ArrayList<>();
-        for (HostEntry host : mMembers.alive(System.nanoTime())) {
-            if (host.serving()) {
-                names.add(host.name());
+        long now = System.nanoTime();
+        if (now - mFeedersUntilNanos >= 0) {
+            mFeedersUntilNanos = now + FEEDERS_NANOS;
+            List<String> serving = new ArrayList<>();
+            for (HostEntry host : mMembers.alive(now)) {
+                if (host.serving()) {
+                    serving.add(host.name());
+                }
             }
+            mFeeders.hosts(serving);
         }
-        List<String> order = Rendezvous.order(serverId, names);
-        int rank = order.indexOf(mConfig.host());
-        return rank >= 0 && rank < Placer.COLD_FEEDERS;
+        return mFeeders.feeds(serverId);
     }
 
     @Override
     public void settings(SteeringSettings settings) {
         mRoutes = RouteTable.of(settings);
+        mSettingsVersion = settings.version();
         mBackends.services(settings.services());
         mPlacer.routes(settings.routes());
         mOnSettings.accept(settings);
@@ -109,6 +120,11 @@
         return mRoutes;
     }
 
+    /** Returns the version of the settings in force, 0 before the first ones. */
+    long settingsVersion() {
+        return mSettingsVersion;
+    }
+
     String service(Route route) {
         return mSplits.next(route);
     }
