Explain a request from the log files of entry hosts

Cause: explain asked a live host of the former design only; on the users' platform an engineer has nothing but the logs.

--- a/tool/src/main/java/org/redwingladder/tool/HostCommands.java
+++ b/tool/src/main/java/org/redwingladder/tool/HostCommands.java
@@ -28,24 +28,6 @@
         }
     }
 
-    /** Prints what an entry host did with a request. */
-    static final class Explain extends OperatorCommand {
-        @Argument(metaVar = "REQUEST-ID", required = true, usage = "the request's id")
-        private String mRequestId = "";
-
-        @Override
-        String summary() {
-            return "Prints what an entry host did with a request and why.";
-        }
-
-        @Override
-        ExitCode run(OperatorClient client, PrintStream out) throws ToolException {
-            JsonNode answer = OperatorClient.require(client.get("/v1/explain/" + mRequestId));
-            print(out, answer, answer.toPrettyString());
-            return ExitCode.OK;
-        }
-    }
-
     /** Starts a planned stop. */
     static final class Drain extends OperatorCommand {
         @Override
--- a/tool/src/main/java/org/redwingladder/tool/ToolMain.java
+++ b/tool/src/main/java/org/redwingladder/tool/ToolMain.java
@@ -27,7 +27,7 @@
         COMMANDS.put("lookup", LookupCommand::new);
         COMMANDS.put("request", RequestCommand::new);
         COMMANDS.put("status", HostCommands.Status::new);
-        COMMANDS.put("explain", HostCommands.Explain::new);
+        COMMANDS.put("explain", ExplainCommand::new);
         COMMANDS.put("drain", HostCommands.Drain::new);
         COMMANDS.put("members", HostCommands.Members::new);
         COMMANDS.put("load", LoadCommand::new);
