Name the largest hosts and keep the first plan of regions steady

(2) Two hosts of a zone were named whatever their size, so that 0.21 cores and 10 Mbit/s carried a zone's downloads while hosts of 1.5 cores idled; 4,191 of 29,265 requests took more than half of their objective to reach a server. Change: a plan without demand assumes the same of each zone up to the local utilization, and moves at the usual step once this host has placed a request. Hosts tell what they can carry, from the cores and the link of the settings; the largest ones are named, as many as carry the demand.

--- a/core/src/main/java/org/redwingladder/steering/HostEntry.java
+++ b/core/src/main/java/org/redwingladder/steering/HostEntry.java
@@ -13,6 +13,7 @@
  * @param clientAddress where clients reach it
  * @param serving whether clients should be sent to it
  * @param storeReachable whether the store answered it when it last asked
+ * @param capacity the requests a second that it should receive at most, see {@link HostSize}
  * @param demand the requests a second that it receives, by service
  */
 public record HostEntry(
@@ -24,6 +25,7 @@
         String clientAddress,
         boolean serving,
         boolean storeReachable,
+        double capacity,
         Map<String, Double> demand) {
 
     /** Returns whether this is newer than {@code other}, which describes the same host. */
--- a/core/src/main/java/org/redwingladder/steering/LookupChoice.java
+++ b/core/src/main/java/org/redwingladder/steering/LookupChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,17 +15,15 @@
     /** Clients need a second host when the first one fails. */
     private static final int MIN_HOSTS = 2;
 
-    /** Requests a second that keep a small host at a third of its share of a core. */
-    private static final double REQUESTS_PER_HOST = 60;
-
     private LookupChoice() {}
 
     /**
      * Returns client addresses of the nearest hosts: those of the client's zone, else of its
      * region, else all.
      *
-     * <p>Of these only as many are named as the demand needs, the same ones on all hosts. Each host
-     * chooses backend servers by what it saw itself, and few hosts see more of each server.
+     * <p>Of these only as many are named as the demand needs, the largest ones, the same on all
+     * hosts. Each host chooses backend servers by what it saw itself: few hosts see more of each
+     * server and need fewer connections.
      */
     public static List<String> addresses(
             Collection<HostEntry> alive,
@@ -47,21 +46,47 @@
             }
         }
         List<HostEntry> nearest = !inZone.isEmpty() ? inZone : !inRegion.isEmpty() ? inRegion : all;
-        Map<String, String> addresses = new HashMap<>();
         double demand = 0;
         for (HostEntry host : nearest) {
-            addresses.put(host.name(), host.clientAddress());
             for (double rate : host.demand().values()) {
                 demand += rate;
             }
         }
-        int wanted = Math.max(MIN_HOSTS, (int) Math.ceil(demand / REQUESTS_PER_HOST));
+        List<HostEntry> ordered = largestFirst(zone, nearest);
         List<String> named = new ArrayList<>();
-        for (String name : Rendezvous.order(zone, addresses.keySet())) {
-            if (named.size() < Math.min(wanted, MAX_ADDRESSES)) {
-                named.add(addresses.get(name));
-            }
+        for (HostEntry host : ordered.subList(0, wanted(ordered, demand))) {
+            named.add(host.clientAddress());
         }
         return named;
     }
+
+    private static List<HostEntry> largestFirst(String zone, List<HostEntry> hosts) {
+        Map<String, HostEntry> byName = new HashMap<>();
+        hosts.forEach(host -> byName.put(host.name(), host));
+        List<HostEntry> ordered = new ArrayList<>();
+        for (String name : Rendezvous.order(zone, byName.keySet())) {
+            ordered.add(byName.get(name));
+        }
+        ordered.sort(Comparator.comparingDouble(HostEntry::capacity).reversed());
+        return ordered;
+    }
+
+    /**
+     * Returns how many of the hosts are needed. Clients use all hosts that are named alike, so that
+     * the smallest of them bounds what they carry together.
+     */
+    private static int wanted(List<HostEntry> ordered, double demand) {
+        int most = Math.min(ordered.size(), MAX_ADDRESSES);
+        int best = Math.min(MIN_HOSTS, most);
+        for (int count = Math.max(1, best); count <= most; count++) {
+            double carried = count * ordered.get(count - 1).capacity();
+            if (carried >= demand) {
+                return count;
+            }
+            if (carried > best * ordered.get(best - 1).capacity()) {
+                best = count;
+            }
+        }
+        return best;
+    }
 }
--- a/core/src/main/java/org/redwingladder/steering/Placer.java
+++ b/core/src/main/java/org/redwingladder/steering/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,9 +57,6 @@
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long STEP_NANOS = 1_000_000_000L;
 
-    /** A service time at which any demand fills all regions alike. */
-    private static final double FULL_SECONDS = 1e6;
-
     /** The part of a region's requests that may change its region in one step of a second. */
     private static final double REGION_STEP = 0.04;
 
@@ -79,7 +77,7 @@
             };
     private long mOrdersOf = -1;
     private long mPartsNanos;
-    private boolean mDemandSeen;
+    private final Set<String> mPlaced = new HashSet<>();
     private Map<String, Integer> mMostUrgent = Map.of();
     private Map<String, Long> mObjectives = Map.of();
     private Feeders mFeeders = server -> true;
@@ -156,19 +154,17 @@
             Map<String, Double> target = target(service, demand.get(service));
             Map<String, Double> now = mParts.get(service);
             if (!target.isEmpty()) {
-                mParts.put(
-                        service,
-                        now == null || !mDemandSeen ? target : RegionPlan.move(now, target, step));
+                // Clients notice a jump only if this host has served them by the parts before.
+                boolean jump = now == null || !mPlaced.contains(service);
+                mParts.put(service, jump ? target : RegionPlan.move(now, target, step));
             }
         }
-        mDemandSeen = mDemandSeen || !demand.isEmpty();
     }
 
-    /** Until any demand is known all zones are taken to have the same. */
     private Map<String, Double> target(String service, @Nullable Map<String, Double> demand) {
         Map<String, Double> slots = mBackends.slotsByRegion(service);
         return demand == null
-                ? RegionPlan.target(mRegion, mBackends.zonesByRegion(), slots, FULL_SECONDS)
+                ? RegionPlan.start(mRegion, mBackends.zonesByRegion(), slots)
                 : RegionPlan.target(
                         mRegion,
                         demand,
@@ -183,6 +179,7 @@
 
     /** Chooses the server of a request. */
     public Placement place(Request request, long nowNanos) {
+        mPlaced.add(request.service());
         Map<String, List<Backend>> byRegion = candidates(request, nowNanos);
         if (byRegion.isEmpty()) {
             return new Placement.Refuse(
--- a/core/src/main/java/org/redwingladder/steering/RegionPlan.java
+++ b/core/src/main/java/org/redwingladder/steering/RegionPlan.java
@@ -65,6 +65,18 @@
         return parts;
     }
 
+    /**
+     * Returns the parts before any demand is known: all zones are taken to have the same, and
+     * together as much as fills the slots up to the utilization from which requests move.
+     *
+     * @param zones the number of zones of each region
+     */
+    public static Map<String, Double> start(
+            String home, Map<String, Double> zones, Map<String, Double> slots) {
+        double serviceSeconds = LOCAL_UTILIZATION * sum(slots) / Math.max(1, sum(zones));
+        return target(home, zones, slots, Math.max(Double.MIN_NORMAL, serviceSeconds));
+    }
+
     /**
      * Returns parts that lie between {@code from} and {@code to}.
      *
--- a/core/src/test/java/org/redwingladder/steering/MembersTest.java
+++ b/core/src/test/java/org/redwingladder/steering/MembersTest.java
@@ -13,6 +13,11 @@
     private static final Map<String, String> REGIONS = Map.of("z1", "r1", "z2", "r1", "z3", "r2");
 
     private static HostEntry host(String name, String zone, long started, long beats) {
+        return host(name, zone, started, beats, 60);
+    }
+
+    private static HostEntry host(
+            String name, String zone, long started, long beats, double capacity) {
         return new HostEntry(
                 name,
                 started,
@@ -22,6 +27,7 @@
                 name + ":2",
                 true,
                 true,
+                capacity,
                 Map.of("a", 30.0));
     }
 
@@ -35,6 +41,7 @@
                 host.clientAddress(),
                 host.serving(),
                 false,
+                host.capacity(),
                 host.demand());
     }
 
@@ -104,6 +111,47 @@
             }
             assertThat(LookupChoice.addresses(hosts, "z1", "r1", REGIONS)).hasSize(5);
         }
+
+        /** Guards against a zone's clients on small hosts while large ones idle. */
+        @Test
+        void namesTheLargestHosts() {
+            List<HostEntry> hosts = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                hosts.add(host("small" + i, "z1", 1, 1, 30));
+            }
+            hosts.add(host("large0", "z1", 1, 1, 200));
+            hosts.add(host("large1", "z1", 1, 1, 200));
+            assertThat(LookupChoice.addresses(hosts, "z1", "r1", REGIONS))
+                    .containsExactlyInAnyOrder("large0:2", "large1:2");
+        }
+
+        /** Guards against a small host that gets as many clients as a large one beside it. */
+        @Test
+        void bringsInEnoughSmallHostsOnceALargeOneIsLost() {
+            List<HostEntry> hosts = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                hosts.add(host("small" + i, "z1", 1, 1, 50));
+            }
+            hosts.add(host("large", "z1", 1, 1, 200));
+            assertThat(LookupChoice.addresses(hosts, "z1", "r1", REGIONS)).hasSize(6);
+        }
+
+        /** Guards against an error instead of an answer while no host is known. */
+        @Test
+        void namesNobodyWhileNobodyServes() {
+            assertThat(LookupChoice.addresses(List.of(), "z1", "r1", REGIONS)).isEmpty();
+        }
+
+        /** Guards against naming nobody when the demand exceeds all hosts together. */
+        @Test
+        void namesAsManyAsHelpUnderOverload() {
+            List<HostEntry> hosts = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                hosts.add(host("small" + i, "z1", 1, 1, 10));
+            }
+            hosts.add(host("large", "z1", 1, 1, 20));
+            assertThat(LookupChoice.addresses(hosts, "z1", "r1", REGIONS)).hasSize(10);
+        }
     }
 
     @Nested
--- a/core/src/test/java/org/redwingladder/steering/PlacerTest.java
+++ b/core/src/test/java/org/redwingladder/steering/PlacerTest.java
@@ -1,6 +1,7 @@
 package org.redwingladder.steering;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -192,6 +193,26 @@
             assertThat(local).isLessThan(400);
             assertThat(mPlacer.parts("a").get("r1")).isLessThan(0.4);
         }
+
+        /** Guards against a wave between regions once the first demand is heard of. */
+        @Test
+        void movesSlowlyFromTheFirstRequestOn() {
+            servers(1, 9);
+            mPlacer.plan(Map.of(), 0);
+            double before = mPlacer.parts("a").get("r1");
+            place(route(1, Set.of()), "o", Set.of(), 0);
+            mPlacer.plan(Map.of("a", Map.of("r1", 1.0, "r2", 1.0)), 2 * SECOND);
+            assertThat(mPlacer.parts("a").get("r1")).isCloseTo(before + 0.08, within(1e-9));
+        }
+
+        /** Guards against a restarted host that keeps its assumptions for half a minute. */
+        @Test
+        void followsTheDemandAtOnceBeforeItsFirstRequest() {
+            servers(1, 9);
+            mPlacer.plan(Map.of(), 0);
+            mPlacer.plan(Map.of("a", Map.of("r1", 1.0, "r2", 1.0)), SECOND);
+            assertThat(mPlacer.parts("a")).containsExactly(Map.entry("r1", 1.0));
+        }
     }
 
     @Nested
--- a/daemon/src/main/java/org/redwingladder/entry/EntryConfig.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfig.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.redwingladder.steering.HostSize;
 
 /**
  * Holds the configuration of an entry host.
@@ -17,6 +18,7 @@
  * @param peers where other hosts connect
  * @param seeds peer addresses of hosts that may be running
  * @param store the platform's store
+ * @param size what the host may use
  * @param bounds the limits that the deployment keeps
  */
 public record EntryConfig(
@@ -29,6 +31,7 @@
         InetSocketAddress peers,
         List<InetSocketAddress> seeds,
         InetSocketAddress store,
+        HostSize size,
         Bounds bounds) {
 
     /**
@@ -59,6 +62,7 @@
                 peers,
                 other.seeds,
                 store,
+                size,
                 other.bounds);
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
@@ -12,6 +12,7 @@
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.Json;
 import org.redwingladder.http.JsonException;
+import org.redwingladder.steering.HostSize;
 
 /** Reads and checks the configuration file of an entry host; reports all faults at once. */
 public final class EntryConfigReader {
@@ -64,6 +65,9 @@
                         address("listen.peers"),
                         seeds(),
                         address("store"),
+                        new HostSize(
+                                number("size.cores") * number("size.partOfEachCore"),
+                                number("size.linkMegabits")),
                         new EntryConfig.Bounds(
                                 millis("bounds.stop"),
                                 millis("bounds.lookupLifetime"),
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -212,6 +212,7 @@
                 Addresses.format(mConfig.clients()),
                 mState.ready() && !mStopping,
                 mState.storeReachable(),
+                mConfig.size().capacity(),
                 mDemand.rates(now));
     }
 
--- a/daemon/src/test/java/org/redwingladder/entry/EntryConfigReaderTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/EntryConfigReaderTest.java
@@ -14,6 +14,7 @@
              "listen": {"clients": "10.0.0.1:1", "readiness": "10.0.0.1:2",
                         "lookups": "10.0.0.1:3", "peers": "10.0.0.1:4"},
              "seeds": ["10.0.0.2:4"], "store": "10.0.0.9:5",
+             "size": {"cores": 1, "partOfEachCore": 0.42, "linkMegabits": 700.0},
              "bounds": {"stop": "6s", "lookupLifetime": "5s", "retryRatio": 0.2,
                         "retryAllowance": 130, "retryWindow": "10s"}}
             """;
@@ -27,6 +28,8 @@
             assertThat(config.host()).isEqualTo("h1");
             assertThat(config.region()).isEqualTo("r1");
             assertThat(config.seeds()).hasSize(1);
+            assertThat(config.size().cores()).isEqualTo(0.42);
+            assertThat(config.size().megabitsPerSecond()).isEqualTo(700);
             assertThat(config.bounds().stopMillis()).isEqualTo(6000);
             assertThat(config.bounds().retryWindowMillis()).isEqualTo(10_000);
         }
