--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -15,7 +15,6 @@
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallRequest;
 import org.redwingladder.http.HttpCaller;
-import org.redwingladder.http.Json;
 import org.redwingladder.http.JsonException;
 import org.redwingladder.http.WholeAnswer;
 import org.redwingladder.steering.HostEntry;
@@ -180,7 +179,7 @@
                 address,
                 EXCHANGE,
                 message(),
-                body -> received(address, Json.read(body, PeerMessages.Exchange.class)));
+                body -> received(address, PeerCodec.read(body, PeerMessages.Exchange.class)));
     }
 
     private interface BodyReader {
@@ -191,7 +190,7 @@
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_MILLIS);
         CallRequest request =
                 CallRequest.of(Methods.POST, Addresses.parse(address), path, deadline)
-                        .json(message)
+                        .body(PeerCodec.write(message))
                         .maxWholeBytes(MAX_MESSAGE_BYTES);
         mCaller.ask(request)
                 .whenComplete(
@@ -249,7 +248,7 @@
                     new PeerMessages.CopyRequest(
                             mState.image(StoreTable.CONTROL).position(),
                             mState.image(StoreTable.SERVERS).position()),
-                    body -> adopt(Json.read(body, PeerMessages.Copies.class)));
+                    body -> adopt(PeerCodec.read(body, PeerMessages.Copies.class)));
         }
     }
 
@@ -275,25 +274,26 @@
     private void answer(HttpServerExchange exchange, String path, byte[] body) {
         try {
             if (path.equals(EXCHANGE)) {
-                PeerMessages.Exchange message = Json.read(body, PeerMessages.Exchange.class);
+                PeerMessages.Exchange message = PeerCodec.read(body, PeerMessages.Exchange.class);
                 String address = addressOf(message);
                 if (address != null) {
                     received(address, message);
                 }
-                Responses.json(exchange, Json.write(message()));
+                Responses.packed(exchange, PeerCodec.write(message()));
             } else if (path.equals(CHANGES)) {
-                if (!mState.passed(Json.read(body, PeerMessages.Changes.class))) {
+                if (!mState.passed(PeerCodec.read(body, PeerMessages.Changes.class))) {
                     mMetrics.count("peers.changes-missed");
                 }
                 Responses.text(exchange, 200, "");
             } else {
-                PeerMessages.CopyRequest asked = Json.read(body, PeerMessages.CopyRequest.class);
+                PeerMessages.CopyRequest asked =
+                        PeerCodec.read(body, PeerMessages.CopyRequest.class);
                 List<PeerMessages.TableCopy> copies =
                         mState.copies(
                                 Map.of(
                                         StoreTable.CONTROL, asked.controlPosition(),
                                         StoreTable.SERVERS, asked.serversPosition()));
-                Responses.json(exchange, Json.write(new PeerMessages.Copies(copies)));
+                Responses.packed(exchange, PeerCodec.write(new PeerMessages.Copies(copies)));
             }
         } catch (JsonException e) {
             mLog.event("peers", "malformed").with("cause", e.getMessage()).write();
--- a/daemon/src/main/java/org/redwingladder/entry/Responses.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Responses.java
@@ -19,6 +19,12 @@
         send(exchange, "application/json", body);
     }
 
+    /** Sends a message of {@link PeerCodec}. */
+    static void packed(HttpServerExchange exchange, byte[] message) {
+        exchange.setStatusCode(200);
+        send(exchange, "application/octet-stream", message);
+    }
+
     static void send(HttpServerExchange exchange, String type, byte[] body) {
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
@@ -0,0 +1,82 @@
+package org.redwingladder.entry;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.JsonException;
+import org.redwingladder.steering.HostEntry;
+
+class PeerCodecTest {
+    private static PeerMessages.Exchange exchange(int hosts) {
+        List<HostEntry> entries = new ArrayList<>();
+        for (int i = 0; i < hosts; i++) {
+            entries.add(
+                    new HostEntry(
+                            "edge-zone-" + i,
+                            1_796_364_213_283L + i,
+                            1000 + i,
+                            "zone-" + i % 9,
+                            "10.1." + i + ".3:8544",
+                            "10.1." + i + ".3:8548",
+                            true,
+                            true,
+                            60,
+                            Map.of("calendar", 3.25 + i, "booking", 1.5 + i)));
+        }
+        return new PeerMessages.Exchange("edge-zone-1", entries, 17, 42);
+    }
+
+    @Nested
+    class RoundTrip {
+        /** Guards against entries that are lost or changed on their way. */
+        @Test
+        void readsWhatWasWritten() throws Exception {
+            PeerMessages.Exchange sent = exchange(200);
+            PeerMessages.Exchange read =
+                    PeerCodec.read(PeerCodec.write(sent), PeerMessages.Exchange.class);
+            assertThat(read).isEqualTo(sent);
+        }
+
+        /** Guards against exchanges that grow with the hosts as plain JSON does. */
+        @Test
+        void takesAFifthOfTheText() {
+            PeerMessages.Exchange sent = exchange(100);
+            int text = org.redwingladder.http.Json.write(sent).length;
+            assertThat(PeerCodec.write(sent).length).isLessThan(text / 5);
+        }
+    }
+
+    @Nested
+    class BadInput {
+        /** Guards against a message that ends a thread or is taken for an empty one. */
+        @Test
+        void refusesWhatIsNoMessage() {
+            byte[] whole = PeerCodec.write(exchange(50));
+            for (byte[] bad :
+                    List.of(
+                            new byte[0],
+                            "{}".getBytes(UTF_8),
+                            Arrays.copyOf(whole, whole.length / 2),
+                            PeerCodec.write("text"))) {
+                assertThatThrownBy(() -> PeerCodec.read(bad, PeerMessages.Exchange.class))
+                        .isInstanceOf(JsonException.class);
+            }
+        }
+
+        /** Guards against a small message that fills the memory. */
+        @Test
+        void refusesAMessageThatInflatesWithoutBound() {
+            byte[] bomb = PeerCodec.write("x".repeat(40 << 20));
+            assertThat(bomb.length).isLessThan(1 << 20);
+            assertThatThrownBy(() -> PeerCodec.read(bomb, String.class))
+                    .hasMessageContaining("more than");
+        }
+    }
+}
--- a/http/src/main/java/org/redwingladder/http/JsonException.java
+++ b/http/src/main/java/org/redwingladder/http/JsonException.java
@@ -6,8 +6,10 @@
 
 /** Reports a text that is not the expected JSON, with its line and column where known. */
 public final class JsonException extends IOException {
+    private static final long serialVersionUID = 1L;
 
-    JsonException(String message) {
+    /** Creates an exception that says what is wrong with a text. */
+    public JsonException(String message) {
         super(message);
     }
 
