--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -19,6 +19,9 @@
     /** A server whose answers take this much longer than usual, in percent, is named slow. */
     private static final long SLOW_PERCENT = 150;
 
+    /** A delay is named as a reason from this part of the objective on. */
+    private static final double NOTABLE_PART = 0.1;
+
     /** One send: server, milliseconds since the arrival of its start and end, and how it ended. */
     private static final Pattern SEND = Pattern.compile("(\\S+):(\\d+)-(\\d+):([A-Z_]+)");
 
@@ -90,39 +93,41 @@
         if (millis <= objective) {
             return took;
         }
+        long sent = line.number("sent");
+        long held = millis - sent;
+        long expected = line.number("wait") + line.number("work");
         List<String> reasons = new ArrayList<>();
-        if (line.number("sent") > 0) {
+        if (sent > NOTABLE_PART * objective) {
             reasons.add(
                     "the send that brought the answer left after "
-                            + line.number("sent")
+                            + sent
                             + " ms ("
                             + sends(line)
                             + ")");
         }
+        if (held > expected + NOTABLE_PART * objective) {
+            reasons.add(
+                    "server "
+                            + line.text("server")
+                            + " took "
+                            + held
+                            + " ms, "
+                            + expected
+                            + " ms were expected");
+        }
         if (line.number("wait") > 0) {
             reasons.add(
-                    "a wait of "
-                            + line.number("wait")
-                            + " ms in the server's queue was"
-                            + " expected");
+                    "a wait of " + line.number("wait") + " ms in the server's queue was expected");
         }
         if (line.text("warm").equals("false")) {
             reasons.add("the server did not know the object");
         }
         if (line.number("slowPercent") >= SLOW_PERCENT) {
             reasons.add(
-                    "the server is slow, "
-                            + line.number("slowPercent")
-                            + "% of the usual"
-                            + " time");
+                    "the server is slow, " + line.number("slowPercent") + "% of the usual time");
         }
         if (reasons.isEmpty()) {
-            reasons.add(
-                    "server "
-                            + line.text("server")
-                            + " took longer than the "
-                            + line.number("work")
-                            + " ms that were expected");
+            reasons.add("the work itself takes " + expected + " ms");
         }
         return took + ": " + String.join("; ", reasons);
     }
