--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -33,6 +33,7 @@
     private long mBackOffMillis = FIRST_BACK_OFF_MILLIS;
     private long mGeneration;
     private boolean mHealthy;
+    private boolean mLossTold;
     private boolean mStopped;
     private boolean mFollowing = true;
     private boolean mLastFailed;
@@ -132,6 +133,7 @@
     private void answered() {
         mLastFailed = false;
         mRead = true;
+        mLossTold = false;
         if (!mHealthy) {
             mHealthy = true;
             mLog.event("store", "regained").with("table", mTable).write();
@@ -191,8 +193,9 @@
                 start();
                 return;
             }
-            if (mHealthy) {
-                mHealthy = false;
+            mHealthy = false;
+            if (!mLossTold) {
+                mLossTold = true;
                 mLog.event("store", "lost")
                         .with("table", mTable)
                         .with("reason", cause.reason())
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -14,7 +14,7 @@
 
     /** What can take servers away from a request. */
     private static final Set<String> SERVER_CHANGES =
-            Set.of("evacuated", "servers", "server-ejected", "settings");
+            Set.of("evacuated", "servers", "server-ejected");
 
     /** A server whose answers take this much longer than usual, in percent, is named slow. */
     private static final long SLOW_PERCENT = 150;
