Let only hosts that clients use feed cold servers

Change: FeederChoice takes hosts with at least one request a second; all while no such host is known.

--- a/core/src/main/java/org/redwingladder/steering/FeederChoice.java
+++ b/core/src/main/java/org/redwingladder/steering/FeederChoice.java
@@ -1,7 +1,7 @@
 package org.redwingladder.steering;
 
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 
@@ -12,6 +12,9 @@
  * all of them. The choice is kept until the hosts change. Not thread-safe.
  */
 public final class FeederChoice {
+    /** Requests a second from which on a host is taken to be used by clients. */
+    private static final double MIN_DEMAND = 1;
+
     private final String mSelf;
     private final Map<String, Boolean> mFeeds = new HashMap<>();
     private TreeSet<String> mHosts = new TreeSet<>();
@@ -25,9 +28,21 @@
         return new FeederChoice(self);
     }
 
-    /** Takes over the names of the hosts that serve requests. */
-    public void hosts(List<String> serving) {
-        TreeSet<String> hosts = new TreeSet<>(serving);
+    /**
+     * Takes over what is known of the hosts that are alive. Hosts to which no clients are sent
+     * would leave a cold server without requests; they count only while no other host serves.
+     */
+    public void hosts(Collection<HostEntry> alive) {
+        TreeSet<String> hosts = new TreeSet<>();
+        TreeSet<String> idle = new TreeSet<>();
+        for (HostEntry host : alive) {
+            if (host.serving()) {
+                (host.requestsPerSecond() >= MIN_DEMAND ? hosts : idle).add(host.name());
+            }
+        }
+        if (hosts.isEmpty()) {
+            hosts = idle;
+        }
         if (!hosts.equals(mHosts)) {
             mHosts = hosts;
             mFeeds.clear();
--- a/core/src/main/java/org/redwingladder/steering/HostEntry.java
+++ b/core/src/main/java/org/redwingladder/steering/HostEntry.java
@@ -28,6 +28,15 @@
         double capacity,
         Map<String, Double> demand) {
 
+    /** Returns the requests a second of all services. */
+    double requestsPerSecond() {
+        double sum = 0;
+        for (double rate : demand.values()) {
+            sum += rate;
+        }
+        return sum;
+    }
+
     /** Returns whether this is newer than {@code other}, which describes the same host. */
     boolean newerThan(HostEntry other) {
         return startedMillis != other.startedMillis
--- a/core/src/main/java/org/redwingladder/steering/LookupChoice.java
+++ b/core/src/main/java/org/redwingladder/steering/LookupChoice.java
@@ -48,9 +48,7 @@
         List<HostEntry> nearest = !inZone.isEmpty() ? inZone : !inRegion.isEmpty() ? inRegion : all;
         double demand = 0;
         for (HostEntry host : nearest) {
-            for (double rate : host.demand().values()) {
-                demand += rate;
-            }
+            demand += host.requestsPerSecond();
         }
         List<HostEntry> ordered = largestFirst(zone, nearest);
         List<String> named = new ArrayList<>();
--- a/core/src/test/java/org/redwingladder/steering/FeederChoiceTest.java
+++ b/core/src/test/java/org/redwingladder/steering/FeederChoiceTest.java
@@ -4,49 +4,76 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class FeederChoiceTest {
-    private static List<String> hosts(int count) {
-        List<String> hosts = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            hosts.add("h" + i);
+    private static HostEntry host(String name, boolean serving, double rate) {
+        return new HostEntry(
+                name, 1, 1, "z1", name + ":1", name + ":2", serving, true, 60, Map.of("a", rate));
+    }
+
+    private static List<HostEntry> hosts(int busy, int idle) {
+        List<HostEntry> hosts = new ArrayList<>();
+        for (int i = 0; i < busy; i++) {
+            hosts.add(host("busy" + i, true, 20));
+        }
+        for (int i = 0; i < idle; i++) {
+            hosts.add(host("idle" + i, true, 0));
         }
         return hosts;
     }
 
-    private static long feeders(List<String> hosts, String server) {
+    private static List<String> feeders(List<HostEntry> hosts, String server) {
         return hosts.stream()
+                .map(HostEntry::name)
                 .filter(
-                        host -> {
-                            FeederChoice choice = FeederChoice.create(host);
+                        name -> {
+                            FeederChoice choice = FeederChoice.create(name);
                             choice.hosts(hosts);
                             return choice.feeds(server);
                         })
-                .count();
+                .toList();
     }
 
     @Nested
-    class Count {
+    class Hosts {
         /** Guards against hosts that together exceed a cold server's rate. */
         @Test
         void choosesTheSameFewOnAllHosts() {
             for (int i = 0; i < 20; i++) {
-                assertThat(feeders(hosts(140), "s" + i)).isEqualTo(Placer.COLD_FEEDERS);
+                assertThat(feeders(hosts(140, 0), "s" + i)).hasSize(Placer.COLD_FEEDERS);
             }
         }
 
+        /** Guards against a cold server that is fed only by hosts without clients. */
+        @Test
+        void choosesHostsThatClientsUse() {
+            for (int i = 0; i < 20; i++) {
+                assertThat(feeders(hosts(6, 90), "s" + i))
+                        .hasSize(Placer.COLD_FEEDERS)
+                        .allMatch(name -> name.startsWith("busy"));
+            }
+        }
+
+        /** Guards against cold servers that get nothing before any demand is known. */
+        @Test
+        void choosesAmongAllWhileNoHostIsUsed() {
+            assertThat(feeders(hosts(0, 9), "s")).hasSize(Placer.COLD_FEEDERS);
+            assertThat(feeders(List.of(host("stops", false, 9), host("a", true, 0)), "s"))
+                    .containsExactly("a");
+        }
+
         /** Guards against a cold server that nobody feeds because its feeders are gone. */
         @Test
         void choosesAnewWhenAHostLeaves() {
-            List<String> hosts = hosts(10);
-            FeederChoice last = FeederChoice.create("h0");
-            last.hosts(hosts);
+            FeederChoice last = FeederChoice.create("busy0");
+            last.hosts(hosts(10, 0));
             for (int i = 0; i < 20; i++) {
                 last.feeds("s" + i);
             }
-            last.hosts(List.of("h0"));
+            last.hosts(hosts(1, 0));
             for (int i = 0; i < 20; i++) {
                 assertThat(last.feeds("s" + i)).isTrue();
             }
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -1,8 +1,6 @@
 package org.redwingladder.entry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -11,7 +9,6 @@
 import org.redwingladder.http.CallException;
 import org.redwingladder.steering.BackendSet;
 import org.redwingladder.steering.FeederChoice;
-import org.redwingladder.steering.HostEntry;
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.Placement;
 import org.redwingladder.steering.Placer;
@@ -81,13 +78,7 @@
         long now = System.nanoTime();
         if (now - mFeedersUntilNanos >= 0) {
             mFeedersUntilNanos = now + FEEDERS_NANOS;
-            List<String> serving = new ArrayList<>();
-            for (HostEntry host : mMembers.alive(now)) {
-                if (host.serving()) {
-                    serving.add(host.name());
-                }
-            }
-            mFeeders.hosts(serving);
+            mFeeders.hosts(mMembers.alive(now));
         }
         return mFeeders.feeds(serverId);
     }
