Avoid connections that servers forget, send back only news in exchanges

Cause: servers of the grown deployments may forget idle connections within 300 ms; each payment on such a connection has an unknown outcome, and nothing learned from it. Exchanges also sent back what the other host had just told. Change: RestLimit learns from requests lost at once on rested connections, by service; HttpCaller takes a bound on the rest. Answers of exchanges hold only newer entries.

--- a/core/src/main/java/org/redwingladder/steering/MemberTable.java
+++ b/core/src/main/java/org/redwingladder/steering/MemberTable.java
@@ -101,6 +101,20 @@
         return entries;
     }
 
+    /** Returns the entries that are worth passing on to a host that told what it knows. */
+    public List<HostEntry> entriesBeyond(Collection<HostEntry> told, long nowNanos) {
+        Map<String, HostEntry> known = new HashMap<>();
+        told.forEach(entry -> known.put(entry.name(), entry));
+        List<HostEntry> beyond = new ArrayList<>();
+        for (HostEntry entry : entries(nowNanos)) {
+            HostEntry there = known.get(entry.name());
+            if (there == null || entry.newerThan(there)) {
+                beyond.add(entry);
+            }
+        }
+        return beyond;
+    }
+
     /** Returns the hosts that are alive, this one included. */
     public List<HostEntry> alive(long nowNanos) {
         List<HostEntry> alive = new ArrayList<>();
--- a/core/src/test/java/org/redwingladder/steering/MembersTest.java
+++ b/core/src/test/java/org/redwingladder/steering/MembersTest.java
@@ -75,6 +75,23 @@
             assertThat(mTable.sharers(10 * SECOND)).isEqualTo(2);
         }
 
+        /** Guards against answers that repeat what the other host has just told. */
+        @Test
+        void passesOnOnlyWhatTheOtherDoesNotKnow() {
+            mTable.self(host("self", "z1", 1, 7), 0);
+            mTable.merge(List.of(host("a", "z1", 1, 5), host("b", "z1", 1, 5)), 0);
+            mTable.merge(List.of(host("c", "z1", 2, 1), host("d", "z1", 1, 1)), 0);
+            List<HostEntry> told =
+                    List.of(
+                            host("a", "z1", 1, 5),
+                            host("b", "z1", 1, 4),
+                            host("c", "z1", 1, 900),
+                            host("e", "z1", 1, 1));
+            assertThat(mTable.entriesBeyond(told, 0))
+                    .extracting(HostEntry::name)
+                    .containsExactlyInAnyOrder("self", "b", "c", "d");
+        }
+
         /** Guards against taking a registration for a sign of life. */
         @Test
         void countsARegisteredHostOnlyOnceItIsHeard() {
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -72,6 +72,7 @@
     private final long mStartedNanos = System.nanoTime();
     private long mStartedMillis = System.currentTimeMillis();
     private long mBeats;
+    private volatile boolean mClosed;
     private boolean mStopping;
     private long mStopNanos;
     private @Nullable PlatformStore mStore;
@@ -360,6 +361,9 @@
     }
 
     private void awaitEnd(Runnable ended) {
+        if (mClosed) {
+            return;
+        }
         boolean idle = refusing() && mFlows.open() == 0 && stopPart() > 2 * ACCEPTING_PART - 0.1;
         if (!idle && stopPart() < ENDING_PART) {
             mThread.executeAfter(() -> awaitEnd(ended), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -374,6 +378,7 @@
 
     /** Ends all parts of the host. */
     public void close() {
+        mClosed = true;
         mSupervisor.close();
         mRestarts.shutdownNow();
         mCaller.close();
--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -166,10 +166,10 @@
         }
     }
 
-    private PeerMessages.Exchange message() {
+    private PeerMessages.Exchange message(List<HostEntry> entries) {
         return new PeerMessages.Exchange(
                 mConfig.host(),
-                mMembers.entries(System.nanoTime()),
+                entries,
                 mState.image(StoreTable.CONTROL).changed(),
                 mState.image(StoreTable.SERVERS).changed());
     }
@@ -178,7 +178,7 @@
         call(
                 address,
                 EXCHANGE,
-                message(),
+                message(mMembers.entries(System.nanoTime())),
                 body -> received(address, PeerCodec.read(body, PeerMessages.Exchange.class)));
     }
 
@@ -279,7 +279,9 @@
                 if (address != null) {
                     received(address, message);
                 }
-                Responses.packed(exchange, PeerCodec.write(message()));
+                // What the other host told is not worth sending back.
+                List<HostEntry> beyond = mMembers.entriesBeyond(message.hosts(), System.nanoTime());
+                Responses.packed(exchange, PeerCodec.write(message(beyond)));
             } else if (path.equals(CHANGES)) {
                 if (!mState.passed(PeerCodec.read(body, PeerMessages.Changes.class))) {
                     mMetrics.count("peers.changes-missed");
--- a/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AnswerHandler;
+import org.redwingladder.http.AnswerLostException;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.CallRequest;
@@ -20,6 +21,7 @@
 import org.redwingladder.steering.Placement;
 import org.redwingladder.steering.Placer;
 import org.redwingladder.steering.Route;
+import org.redwingladder.steering.SendHistory;
 import org.redwingladder.steering.SendResult;
 import org.xnio.XnioExecutor;
 
@@ -43,9 +45,6 @@
     /** A hedge goes only to a server that would start it nearly at once. */
     private static final double HEDGE_MAX_WAIT = 0.15;
 
-    /** Sends that did not reach a server are tried elsewhere this often. */
-    private static final int MAX_UNREACHABLE = 3;
-
     /** Answers up to this size are checked whole before the first byte goes to the client. */
     private static final int MAX_WHOLE_BYTES = 4 << 20;
 
@@ -63,9 +62,7 @@
     private final long mUntilNanos;
     private final Set<Backend> mTried = new HashSet<>();
     private final List<Attempt> mOpen = new ArrayList<>();
-    private int mMayHaveRun;
-    private int mReached;
-    private int mUnreachable;
+    private final SendHistory mHistory;
     private boolean mDone;
     private SendResult mLastResult = SendResult.FULL;
     private XnioExecutor.@Nullable Key mHedgeTimer;
@@ -82,6 +79,7 @@
         mService = arrival.service();
         mClient = arrival.client();
         mLog = new RequestLog(context, arrival);
+        mHistory = SendHistory.create(mRoute);
         mUntilNanos = arrival.untilNanos();
         mBody = body;
     }
@@ -111,7 +109,7 @@
     /** Ends the request because the process stops. */
     void processEnds() {
         if (!mDone) {
-            fail(mMayHaveRun > 0 ? 504 : 503, "the host stops");
+            fail(mHistory.mayHaveRun() ? 504 : 503, "the host stops");
         }
     }
 
@@ -130,7 +128,7 @@
     }
 
     private void scheduleHedge(Placement.Send first) {
-        if (!mRoute.kind().repeatable() || mRoute.maxAttempts() < 2 || mDone) {
+        if (!mHistory.mayBeDoubled() || mDone) {
             return;
         }
         double millis = HEDGE_FACTOR * (first.waitMillis() + first.serviceMillis());
@@ -143,7 +141,7 @@
     }
 
     private void hedge() {
-        if (mDone || mOpen.size() != 1 || mReached >= mRoute.maxAttempts()) {
+        if (mDone || mOpen.size() != 1 || !mHistory.attemptsLeft()) {
             return;
         }
         if (place() instanceof Placement.Send send
@@ -160,7 +158,7 @@
         if (mDone || !mOpen.isEmpty()) {
             return;
         }
-        if (result != SendResult.TIMED_OUT && maySendAgain(result)) {
+        if (result != SendResult.TIMED_OUT && mHistory.maySendAgain(result, leftNanos())) {
             if (place() instanceof Placement.Send send && payFor(result)) {
                 mLog.repeated(result.name());
                 send(send);
@@ -170,14 +168,8 @@
         giveUp(result);
     }
 
-    private boolean maySendAgain(SendResult result) {
-        if (mUntilNanos - System.nanoTime() <= 0 || mReached >= mRoute.maxAttempts()) {
-            return false;
-        }
-        if (result == SendResult.UNREACHABLE && mUnreachable >= MAX_UNREACHABLE) {
-            return false;
-        }
-        return mMayHaveRun == 0 || mRoute.kind().repeatable();
+    private long leftNanos() {
+        return mUntilNanos - System.nanoTime();
     }
 
     private boolean payFor(SendResult result) {
@@ -185,7 +177,7 @@
     }
 
     private void giveUp(SendResult result) {
-        if (mMayHaveRun == 0) {
+        if (!mHistory.mayHaveRun()) {
             mLog.refused(result.name());
             refuse(result.name(), (long) mContext.steering().times().millis(mService, 200));
         } else if (result == SendResult.TIMED_OUT) {
@@ -247,6 +239,7 @@
                                     mUntilNanos + ANSWER_SLACK_NANOS)
                             .connectDeadlineNanos(mSentNanos + CONNECT_NANOS)
                             .mayEndWithConnection()
+                            .maxRestNanos(mContext.steering().restLimitNanos(mService))
                             .maxWholeBytes(MAX_WHOLE_BYTES);
             long left = Math.max(1, (mUntilNanos - mSentNanos) / 1_000_000);
             mContext.wire()
@@ -262,8 +255,7 @@
             if (id != null) {
                 request.requestId(mContext.wire().requestIdHeader(), id);
             }
-            mReached++;
-            mMayHaveRun++;
+            mHistory.sent();
             Call call = mContext.caller().send(request, this);
             mCall = call;
             if (mEnded && mDone) {
@@ -318,8 +310,7 @@
         /** Returns whether another send may bring a better answer than the server's failure. */
         private boolean canImprove() {
             return !mOpen.isEmpty()
-                    || (mRoute.kind().repeatable()
-                            && maySendAgain(SendResult.FAILED)
+                    || (mHistory.maySendAgain(SendResult.FAILED, leftNanos())
                             && place() instanceof Placement.Send);
         }
 
@@ -329,7 +320,7 @@
                 mBackend.report(said.load(), System.nanoTime());
             }
             if (said.wrongServer() || said.notRun()) {
-                mMayHaveRun--;
+                mHistory.turnedAway();
                 return said.wrongServer() ? SendResult.MISDIRECTED : SendResult.FULL;
             }
             if (!said.genuine()) {
@@ -367,9 +358,9 @@
         public void failed(CallException cause) {
             SendResult result = Steering.resultOf(cause);
             if (cause.neverSent()) {
-                mMayHaveRun--;
-                mReached--;
-                mUnreachable++;
+                mHistory.neverSent();
+            } else if (cause instanceof AnswerLostException lost) {
+                mContext.steering().lost(mService, lost, mSentNanos);
             }
             if (end(result)) {
                 again(result);
--- a/daemon/src/main/java/org/redwingladder/entry/Steering.java
+++ b/daemon/src/main/java/org/redwingladder/entry/Steering.java
@@ -12,6 +12,7 @@
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.Placement;
 import org.redwingladder.steering.Placer;
+import org.redwingladder.steering.RestLimit;
 import org.redwingladder.steering.RetryShare;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
@@ -39,6 +40,7 @@
     private final SplitChooser mSplits = new SplitChooser();
     private final Placer mPlacer;
     private final Map<String, RetryShare> mRetries = new HashMap<>();
+    private final Map<String, RestLimit> mRests = new HashMap<>();
     private final FeederChoice mFeeders;
     private long mFeedersUntilNanos = System.nanoTime();
     private EntryConfig.Bounds mBounds;
@@ -141,6 +143,29 @@
         }
     }
 
+    /** Returns for how long a connection may have rested that carries a request to a service. */
+    long restLimitNanos(String service) {
+        RestLimit limit = mRests.get(service);
+        return limit == null ? Long.MAX_VALUE : limit.nanos(System.nanoTime());
+    }
+
+    /** Learns from a send whose connection ended before the answer. */
+    void lost(String service, AnswerLostException cause, long sentNanos) {
+        if (cause.reason() != AnswerLostException.Cause.CUT_OFF) {
+            return;
+        }
+        long now = System.nanoTime();
+        RestLimit limit = mRests.computeIfAbsent(service, s -> RestLimit.create());
+        long before = limit.nanos(now);
+        limit.lost(cause.restedNanos(), sentNanos, now);
+        if (limit.nanos(now) != before) {
+            mLog.event("state", "rest-limit")
+                    .with("service", service)
+                    .with("millis", limit.nanos(now) / 1_000_000)
+                    .write();
+        }
+    }
+
     /** Returns what the failure of a call says of its server. */
     static SendResult resultOf(CallException cause) {
         if (cause.neverSent()) {
--- a/http/src/main/java/org/redwingladder/http/AnswerLostException.java
+++ b/http/src/main/java/org/redwingladder/http/AnswerLostException.java
@@ -16,10 +16,24 @@
     }
 
     private final Cause mCause;
+    private final long mRestedNanos;
 
     AnswerLostException(Cause cause, String message) {
+        this(cause, message, 0);
+    }
+
+    AnswerLostException(Cause cause, String message, long restedNanos) {
         super(message);
         mCause = cause;
+        mRestedNanos = restedNanos;
+    }
+
+    /**
+     * Returns for how long the connection had been unused before the request was sent, in
+     * nanoseconds; 0 if it was new.
+     */
+    public long restedNanos() {
+        return mRestedNanos;
     }
 
     /** Returns how the answer was lost. */
--- a/http/src/main/java/org/redwingladder/http/CallRequest.java
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -24,6 +24,7 @@
     private HttpString mRequestIdHeader = REQUEST_ID;
     private long mConnectDeadlineNanos;
     private boolean mMayEndWithConnection;
+    private long mMaxRestNanos = Long.MAX_VALUE;
     private int mMaxWholeBytes = CallerLimits.DEFAULT_WHOLE_BYTES;
 
     private CallRequest(
@@ -89,6 +90,12 @@
         return this;
     }
 
+    /** Sets for how long a connection may have been unused before it carries this call. */
+    public CallRequest maxRestNanos(long nanos) {
+        mMaxRestNanos = nanos;
+        return this;
+    }
+
     /** Sets the size up to which the answer is read whole. */
     public CallRequest maxWholeBytes(int bytes) {
         mMaxWholeBytes = bytes;
@@ -134,6 +141,10 @@
         return mMayEndWithConnection;
     }
 
+    long maxRestNanos() {
+        return mMaxRestNanos;
+    }
+
     int maxWholeBytes() {
         return mMaxWholeBytes;
     }
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -30,6 +30,7 @@
     private volatile @Nullable XnioIoThread mThread;
     private volatile boolean mSent;
     private boolean mDone;
+    private long mRestedNanos;
     private @Nullable PooledConnection mConnection;
     private XnioExecutor.@Nullable Key mTimer;
     private @Nullable ByteBuffer mUnsentBody;
@@ -137,6 +138,7 @@
         }
         byte[] body = mRequest.body();
         mUnsentBody = body == null ? null : ByteBuffer.wrap(body);
+        mRestedNanos = connection.restedNanos(System.nanoTime());
         mSent = true;
         connection.connection().sendRequest(mRequest.request(), this);
     }
@@ -275,7 +277,8 @@
         finish(
                 new AnswerLostException(
                         AnswerLostException.Cause.CUT_OFF,
-                        "the connection ended before the answer: " + cause.getMessage()));
+                        "the connection ended before the answer: " + cause.getMessage(),
+                        mRestedNanos));
     }
 
     private void fail(AnswerLostException.Cause lost, Cause notSent, String message) {
--- a/http/src/main/java/org/redwingladder/http/ConnectionPool.java
+++ b/http/src/main/java/org/redwingladder/http/ConnectionPool.java
@@ -40,14 +40,17 @@
         return mOpen;
     }
 
-    /** Takes an unused connection; one of another thread only if no more may be opened. */
-    synchronized @Nullable PooledConnection acquire(XnioIoThread preferred) {
-        PooledConnection own = poll(mIdle.get(preferred));
+    /**
+     * Takes an unused connection; one of another thread only if no more may be opened. Those that
+     * were unused for longer than {@code maxRestNanos} are closed.
+     */
+    synchronized @Nullable PooledConnection acquire(XnioIoThread preferred, long maxRestNanos) {
+        PooledConnection own = poll(mIdle.get(preferred), maxRestNanos);
         if (own != null || mOpen < mMaxOpen) {
             return own;
         }
         for (ArrayDeque<PooledConnection> others : mIdle.values()) {
-            PooledConnection other = poll(others);
+            PooledConnection other = poll(others, maxRestNanos);
             if (other != null) {
                 return other;
             }
@@ -55,13 +58,17 @@
         return null;
     }
 
-    private static @Nullable PooledConnection poll(@Nullable ArrayDeque<PooledConnection> idle) {
+    private static @Nullable PooledConnection poll(
+            @Nullable ArrayDeque<PooledConnection> idle, long maxRestNanos) {
         if (idle == null) {
             return null;
         }
         long now = System.nanoTime();
         PooledConnection connection = idle.pollFirst();
-        while (connection != null && (!connection.isOpen() || connection.expired(now))) {
+        while (connection != null
+                && (!connection.isOpen()
+                        || connection.expired(now)
+                        || connection.restedNanos(now) > maxRestNanos)) {
             PooledConnection unusable = connection;
             unusable.thread().execute(unusable::close);
             connection = idle.pollFirst();
--- a/http/src/main/java/org/redwingladder/http/HttpCaller.java
+++ b/http/src/main/java/org/redwingladder/http/HttpCaller.java
@@ -90,7 +90,7 @@
             return call;
         }
         ConnectionPool pool = pool(request.address());
-        PooledConnection idle = pool.acquire(preferred);
+        PooledConnection idle = pool.acquire(preferred, request.maxRestNanos());
         if (idle != null) {
             call.useConnection(idle);
         } else if (pool.reserve()) {
--- a/http/src/main/java/org/redwingladder/http/PooledConnection.java
+++ b/http/src/main/java/org/redwingladder/http/PooledConnection.java
@@ -22,6 +22,7 @@
     private final ConnectionPool mPool;
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile long mIdleSince;
+    private volatile boolean mUsed;
     private volatile boolean mExpires;
     private volatile long mExpiresNanos;
 
@@ -46,6 +47,11 @@
         return mIdleSince;
     }
 
+    /** Returns for how long the connection has been unused, 0 before its first call. */
+    long restedNanos(long nowNanos) {
+        return mUsed ? nowNanos - mIdleSince : 0;
+    }
+
     /** Returns whether the other side is about to close the connection as unused. */
     boolean expired(long nowNanos) {
         return mExpires && nowNanos - mExpiresNanos >= 0;
@@ -66,6 +72,7 @@
     void release() {
         if (isOpen()) {
             mIdleSince = System.nanoTime();
+            mUsed = true;
             mPool.release(this);
         }
     }
