--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -127,10 +127,11 @@
 
     /** Passes changes on to the hosts of the region. */
     void pass(PeerMessages.Changes changes) {
+        PeerMessages.Push push = new PeerMessages.Push(Addresses.format(mConfig.peers()), changes);
         for (HostEntry host : mMembers.alive(System.nanoTime())) {
             if (!host.name().equals(mConfig.host())
                     && mConfig.region().equals(mConfig.region(host.zone()))) {
-                call(host.peerAddress(), CHANGES, changes, body -> {});
+                call(host.peerAddress(), CHANGES, push, body -> {});
             }
         }
     }
@@ -240,18 +241,25 @@
         boolean behind =
                 message.controlChanged() > mState.image(StoreTable.CONTROL).position()
                         || message.serversChanged() > mState.image(StoreTable.SERVERS).position();
-        if (behind && !mCopying) {
-            mCopying = true;
-            call(
-                    address,
-                    COPY,
-                    new PeerMessages.CopyRequest(
-                            mState.image(StoreTable.CONTROL).position(),
-                            mState.image(StoreTable.SERVERS).position()),
-                    body -> adopt(PeerCodec.read(body, PeerMessages.Copies.class)));
+        if (behind) {
+            copyFrom(address);
         }
     }
 
+    private void copyFrom(String address) {
+        if (mCopying) {
+            return;
+        }
+        mCopying = true;
+        call(
+                address,
+                COPY,
+                new PeerMessages.CopyRequest(
+                        mState.image(StoreTable.CONTROL).position(),
+                        mState.image(StoreTable.SERVERS).position()),
+                body -> adopt(PeerCodec.read(body, PeerMessages.Copies.class)));
+    }
+
     private void adopt(PeerMessages.Copies copies) {
         for (PeerMessages.TableCopy copy : copies.tables()) {
             mState.adopt(copy);
@@ -283,8 +291,11 @@
                 List<HostEntry> beyond = mMembers.entriesBeyond(message.hosts(), System.nanoTime());
                 Responses.packed(exchange, PeerCodec.write(message(beyond)));
             } else if (path.equals(CHANGES)) {
-                if (!mState.passed(PeerCodec.read(body, PeerMessages.Changes.class))) {
+                PeerMessages.Push push = PeerCodec.read(body, PeerMessages.Push.class);
+                if (!mState.passed(push.changes())) {
+                    // Without the changes before these a leaving server would go on to be used.
                     mMetrics.count("peers.changes-missed");
+                    copyFrom(push.from());
                 }
                 Responses.text(exchange, 200, "");
             } else {
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -41,6 +41,14 @@
     record Changes(
             StoreTable table, long after, long position, boolean holding, List<StoreRow> rows) {}
 
+    /**
+     * Passes changes on.
+     *
+     * @param from the peer address of the sender, which has all changes before these
+     * @param changes the changes
+     */
+    record Push(String from, Changes changes) {}
+
     /**
      * Asks for tables that are newer than the sender's.
      *
--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -12,12 +12,6 @@
     /** Bounds the calls of an idle host; a change is told at once whatever the wait is. */
     private static final long WAIT_MILLIS = 12_000;
 
-    /**
-     * The pause after changes, in which more of them gather. Each change costs one call instead of
-     * one a row when many servers join; all bounds on changes are 2.5 s or longer.
-     */
-    private static final long GATHER_MILLIS = 400;
-
     /** A slow store takes up to a few hundred milliseconds for an answer. */
     private static final long ANSWER_MILLIS = 1_500;
 
@@ -119,17 +113,6 @@
                 new Receiver(generation, false));
     }
 
-    private void followLater(long position) {
-        mRetry =
-                mThread.executeAfter(
-                        () -> {
-                            mRetry = null;
-                            follow(position);
-                        },
-                        GATHER_MILLIS,
-                        TimeUnit.MILLISECONDS);
-    }
-
     private void answered() {
         mLastFailed = false;
         mRead = true;
@@ -175,11 +158,7 @@
                 retryLater();
                 return;
             }
-            if (mWhole || page.rows().isEmpty()) {
-                follow(page.position());
-            } else {
-                followLater(page.position());
-            }
+            follow(page.position());
         }
 
         @Override
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
@@ -0,0 +1,176 @@
+package org.redwingladder.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.http.Addresses;
+import org.redwingladder.http.CallerLimits;
+import org.redwingladder.http.HttpCaller;
+import org.redwingladder.http.RawBackend;
+import org.redwingladder.steering.HostSize;
+import org.redwingladder.steering.MemberTable;
+import org.redwingladder.steering.ServerEntry;
+import org.redwingladder.steering.SteeringSettings;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class PeerExchangeTest {
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final InetSocketAddress NOWHERE =
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+
+    private final EventLog mLog = EventLog.of("h1");
+    private XnioWorker mWorker;
+    private HttpCaller mCaller;
+    private Undertow mListener;
+    private RawBackend mOther;
+
+    /** Decodes nothing, since the tests only look at which tables are asked for. */
+    private static final class NoRows implements RowCodec {
+        @Override
+        public ControlRow control(String key, byte[] value) {
+            return new ControlRow.Other();
+        }
+
+        @Override
+        public ServerEntry server(String key, byte[] value, long nowNanos)
+                throws MalformedRowException {
+            throw new MalformedRowException("no rows are expected");
+        }
+    }
+
+    private static final class NoReceiver implements StateKeeper.Receiver {
+        @Override
+        public void settings(SteeringSettings settings) {}
+
+        @Override
+        public void evacuated(Set<String> zones) {}
+
+        @Override
+        public void servers(Map<String, ServerEntry> servers) {}
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        mWorker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+        mCaller =
+                HttpCaller.create(
+                        mWorker, new DefaultByteBufferPool(true, 16_384), CallerLimits.defaults());
+        mOther = new RawBackend((request, out) -> RawBackend.answer(request, out, 503, ""));
+        EntryConfig config =
+                new EntryConfig(
+                        "h1",
+                        "z1",
+                        Map.of("z1", "r1"),
+                        NOWHERE,
+                        NOWHERE,
+                        NOWHERE,
+                        NOWHERE,
+                        List.of(),
+                        NOWHERE,
+                        new HostSize(1, 1000),
+                        new EntryConfig.Bounds(2000, 5000, 0.2, 100, 10_000));
+        StateKeeper state =
+                new StateKeeper(new NoRows(), mWorker.getIoThread(0), mLog, new NoReceiver());
+        PeerExchange exchange =
+                new PeerExchange(
+                        config,
+                        MemberTable.create("h1"),
+                        state,
+                        mCaller,
+                        mWorker.getIoThread(0),
+                        mLog,
+                        new EntryMetrics());
+        mListener =
+                Undertow.builder()
+                        .setWorker(mWorker)
+                        .addHttpListener(0, "127.0.0.1")
+                        .setHandler(exchange)
+                        .build();
+        mListener.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mListener.stop();
+        mCaller.close();
+        mWorker.shutdownNow();
+        mOther.close();
+    }
+
+    private int push(long after) throws Exception {
+        PeerMessages.Push push =
+                new PeerMessages.Push(
+                        Addresses.format(mOther.address()),
+                        new PeerMessages.Changes(
+                                StoreTable.SERVERS, after, after + 2, false, List.of()));
+        InetSocketAddress address =
+                (InetSocketAddress) mListener.getListenerInfo().get(0).getAddress();
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            return client.send(
+                            HttpRequest.newBuilder(
+                                            URI.create(
+                                                    "http://127.0.0.1:"
+                                                            + address.getPort()
+                                                            + "/peer/changes"))
+                                    .version(HttpClient.Version.HTTP_1_1)
+                                    .POST(
+                                            HttpRequest.BodyPublishers.ofByteArray(
+                                                    PeerCodec.write(push)))
+                                    .build(),
+                            HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
+        }
+    }
+
+    private boolean asked(String path) throws InterruptedException {
+        long until = System.nanoTime() + LIMIT_NANOS;
+        while (System.nanoTime() - until < 0) {
+            if (mOther.journal().stream().anyMatch(r -> r.path().equals(path))) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        return false;
+    }
+
+    @Nested
+    class Changes {
+        /** Guards against a leaving server that is used until the next exchange tells more. */
+        @Test
+        void copyTheTableFromTheSenderIfEarlierOnesAreMissing() throws Exception {
+            assertThat(push(5)).isEqualTo(200);
+            assertThat(asked("/peer/copy")).isTrue();
+        }
+
+        /** Guards against a copy of a whole table for each change. */
+        @Test
+        void needNoCopyIfTheyFollowWhatIsKnown() throws Exception {
+            assertThat(push(0)).isEqualTo(200);
+            assertThat(push(2)).isEqualTo(200);
+            assertThat(push(40)).isEqualTo(200);
+            assertThat(asked("/peer/copy")).isTrue();
+            assertThat(mOther.journal()).hasSize(1);
+        }
+    }
+}
