--- /dev/null
+++ b/bench/src/main/java/org/redwingladder/emulator/EmulatedHost.java
@@ -0,0 +1,268 @@
+package org.redwingladder.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.redwingladder.steering.Backend;
+import org.redwingladder.steering.BackendSet;
+import org.redwingladder.steering.Destination;
+import org.redwingladder.steering.Placement;
+import org.redwingladder.steering.Placer;
+import org.redwingladder.steering.RetryShare;
+import org.redwingladder.steering.Route;
+import org.redwingladder.steering.SendHistory;
+import org.redwingladder.steering.SendResult;
+import org.redwingladder.steering.ServiceSpec;
+import org.redwingladder.steering.ServiceTimes;
+
+/** Plays an entry host over the real decisions, with what it can know at the time. */
+final class EmulatedHost {
+    /** As in the deployments that the emulator describes: the budget over all hosts. */
+    private static final double RETRY_RATIO = 0.2;
+
+    private static final double RETRY_ALLOWANCE = 120;
+    private static final long RETRY_WINDOW_NANOS = 10_000_000_000L;
+    private static final int MAX_ATTEMPTS = 2;
+    private static final long UNREACHABLE_NANOS = 300_000_000L;
+
+    /** The bounds of doubled sends, as in the flow of a real request. */
+    private static final double HEDGE_FACTOR = 2.2;
+
+    private static final double HEDGE_MAX_WAIT = 0.15;
+    private static final long WARM_UP_MILLIS = 3_000;
+    private static final double COLD_PER_SECOND = 9;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final Emulation mWorld;
+    private final String mZone;
+    private final Set<Strategy.Mechanism> mWithout;
+    private final BackendSet mBackends;
+    private final ServiceTimes mTimes = new ServiceTimes();
+    private final Placer mPlacer;
+    private final Map<String, Route> mRoutes = new HashMap<>();
+    private final Map<String, RetryShare> mRetries = new HashMap<>();
+    private final Map<String, Integer> mCounts = new HashMap<>();
+
+    EmulatedHost(Emulation world, String zone, Set<Strategy.Mechanism> without) {
+        mWorld = world;
+        mZone = zone;
+        mWithout = without;
+        Map<String, String> regions = world.site().regionOfZone();
+        mBackends = BackendSet.create(regions);
+        mPlacer =
+                Placer.create(
+                        String.valueOf(regions.get(zone)),
+                        mBackends,
+                        mTimes,
+                        (from, to) ->
+                                from.equals(to) ? 0 : 2 * world.site().delays().regionMillis());
+        Map<String, ServiceSpec> specs = new HashMap<>();
+        for (EmulatedSite.Service service : world.site().services()) {
+            specs.put(
+                    service.name(),
+                    new ServiceSpec(service.name(), 1000, WARM_UP_MILLIS, COLD_PER_SECOND));
+            mRetries.put(
+                    service.name(),
+                    RetryShare.create(RETRY_RATIO, RETRY_ALLOWANCE, RETRY_WINDOW_NANOS));
+        }
+        for (EmulatedSite.Kind kind : world.site().kinds()) {
+            mRoutes.put(kind.name(), route(kind));
+        }
+        mBackends.services(specs);
+        mPlacer.routes(List.copyOf(mRoutes.values()));
+        plan(Map.of());
+    }
+
+    private Route route(EmulatedSite.Kind kind) {
+        return new Route(
+                kind.name(),
+                "h",
+                "/" + kind.name() + "/",
+                kind.kind(),
+                kind.deadlineMillis(),
+                kind.objectiveMillis(),
+                kind.priority(),
+                List.of(new Destination(kind.service(), 1)),
+                mWithout.contains(Strategy.Mechanism.REPEATS) ? 1 : MAX_ATTEMPTS,
+                !mWithout.contains(Strategy.Mechanism.AFFINITY),
+                Set.of());
+    }
+
+    String zone() {
+        return mZone;
+    }
+
+    BackendSet backends() {
+        return mBackends;
+    }
+
+    /** Moves the parts of the regions to a demand that the hosts told each other. */
+    void plan(Map<String, Map<String, Double>> demand) {
+        if (!mWithout.contains(Strategy.Mechanism.REGIONS)) {
+            mPlacer.plan(demand, mWorld.time().nowNanos());
+        }
+    }
+
+    /** Returns the requests by service since the last call. */
+    Map<String, Integer> takeCounts() {
+        Map<String, Integer> counts = Map.copyOf(mCounts);
+        mCounts.clear();
+        return counts;
+    }
+
+    void handle(EmulatedRequest request) {
+        mCounts.merge(request.kind().service(), 1, Integer::sum);
+        retries(request).request(mWorld.time().nowNanos());
+        new Flow(request).start();
+    }
+
+    private RetryShare retries(EmulatedRequest request) {
+        RetryShare share = mRetries.get(request.kind().service());
+        if (share == null) {
+            throw new IllegalStateException("no service " + request.kind().service());
+        }
+        return share;
+    }
+
+    /** Carries one try of a request. */
+    private final class Flow {
+        private final EmulatedRequest mRequest;
+        private final Route mRoute;
+        private final SendHistory mHistory;
+        private final Set<Backend> mTried = new HashSet<>();
+        private final List<Backend> mOpen = new ArrayList<>();
+        private boolean mDone;
+
+        Flow(EmulatedRequest request) {
+            mRequest = request;
+            Route route = mRoutes.get(request.kind().name());
+            if (route == null) {
+                throw new IllegalStateException("no route " + request.kind().name());
+            }
+            mRoute = route;
+            mHistory = SendHistory.create(route);
+        }
+
+        void start() {
+            switch (place()) {
+                case Placement.Send send -> {
+                    send(send);
+                    scheduleHedge(send);
+                }
+                case Placement.Refuse refuse -> refuse(refuse.retryAfterMillis());
+            }
+        }
+
+        private Placement place() {
+            return mPlacer.place(
+                    new Placer.Request(
+                            mRoute,
+                            mRequest.kind().service(),
+                            mRequest.object(),
+                            mTried,
+                            mRequest.untilNanos()),
+                    mWorld.time().nowNanos());
+        }
+
+        private void refuse(long retryAfterMillis) {
+            mDone = true;
+            mWorld.refused(this.mRequest, retryAfterMillis);
+        }
+
+        private void scheduleHedge(Placement.Send first) {
+            if (!mHistory.mayBeDoubled() || mWithout.contains(Strategy.Mechanism.HEDGES)) {
+                return;
+            }
+            double millis = HEDGE_FACTOR * (first.waitMillis() + first.serviceMillis());
+            mWorld.time().after((long) (millis * NANOS_PER_MILLI), this::hedge);
+        }
+
+        private void hedge() {
+            long now = mWorld.time().nowNanos();
+            if (mDone || mOpen.size() != 1 || !mHistory.attemptsLeft()) {
+                return;
+            }
+            if (place() instanceof Placement.Send send
+                    && send.waitMillis() <= HEDGE_MAX_WAIT * send.serviceMillis()
+                    && retries(mRequest).tryTake(mWorld.hosts().size(), now)) {
+                mWorld.results().extraSend();
+                send(send);
+            }
+        }
+
+        private void send(Placement.Send placement) {
+            Backend backend = placement.server();
+            long sent = mWorld.time().nowNanos();
+            mTried.add(backend);
+            mOpen.add(backend);
+            mHistory.sent();
+            backend.sent(sent);
+            EmulatedServer server = mWorld.server(backend.entry().id());
+            mWorld.send(mZone, server, mRequest, result -> ended(placement, sent, result, server));
+        }
+
+        private void ended(
+                Placement.Send placement, long sent, SendResult result, EmulatedServer server) {
+            long now = mWorld.time().nowNanos();
+            Backend backend = placement.server();
+            double expected = placement.waitMillis() + placement.serviceMillis();
+            backend.ended(mDone ? SendResult.CANCELLED : result, sent, expected, now);
+            mOpen.remove(backend);
+            if (result != SendResult.UNREACHABLE
+                    && !mWithout.contains(Strategy.Mechanism.LOAD_REPORTS)) {
+                backend.report(server.load(), now);
+            }
+            if (mDone) {
+                return;
+            }
+            if (result == SendResult.ANSWERED) {
+                mDone = true;
+                learn(placement, sent, now);
+                mWorld.answered(mRequest);
+                return;
+            }
+            again(result);
+        }
+
+        private void learn(Placement.Send placement, long sent, long now) {
+            if (placement.waitMillis() > 0) {
+                return;
+            }
+            double millis = (now - sent) / NANOS_PER_MILLI;
+            String service = mRequest.kind().service();
+            if (placement.warm()) {
+                mTimes.warm(service, millis, mRoute.objectiveMillis());
+            } else {
+                mTimes.cold(service, millis, mRoute.objectiveMillis());
+            }
+        }
+
+        private void again(SendResult result) {
+            long now = mWorld.time().nowNanos();
+            if (result == SendResult.UNREACHABLE) {
+                mHistory.neverSent();
+            } else {
+                mHistory.turnedAway();
+            }
+            if (!mOpen.isEmpty()) {
+                return;
+            }
+            if (mHistory.maySendAgain(result, mRequest.untilNanos() - now)
+                    && place() instanceof Placement.Send send
+                    && (result == SendResult.UNREACHABLE
+                            || retries(mRequest).tryTake(mWorld.hosts().size(), now))) {
+                mWorld.results().extraSend();
+                send(send);
+            } else {
+                refuse((long) mTimes.millis(mRequest.kind().service(), 200));
+            }
+        }
+    }
+
+    static long unreachableNanos() {
+        return UNREACHABLE_NANOS;
+    }
+}
