--- a/http/src/test/java/org/redwingladder/http/RawBackend.java
+++ b/http/src/test/java/org/redwingladder/http/RawBackend.java
@@ -124,6 +124,17 @@
         if (start == null) {
             return null;
         }
+        Map<String, String> headers = headers(in);
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = in.readNBytes(length);
+        String[] words = start.split(" ");
+        return body.length < length
+                ? null
+                : new Received(words[0], words[1], headers, body, number);
+    }
+
+    /** Reads the headers of a message up to the empty line, with names in lower case. */
+    public static Map<String, String> headers(InputStream in) throws IOException {
         Map<String, String> headers = new TreeMap<>();
         for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
             int colon = line.indexOf(':');
@@ -131,15 +142,11 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).trim());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        byte[] body = in.readNBytes(length);
-        String[] words = start.split(" ");
-        return body.length < length
-                ? null
-                : new Received(words[0], words[1], headers, body, number);
+        return headers;
     }
 
-    private static String line(InputStream in) throws IOException {
+    /** Reads a line without its end; returns null if the stream has ended. */
+    public static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         int c = in.read();
         while (c >= 0 && c != '\n') {
