Log which servers leave and from where a host knows it

The log told only the number of servers, so that late news, held registrations and late requests looked the same. Change: state servers-left, servers and storeAway in lapsed-servers-held, store follows and relies-on-others; no decision is changed.

--- a/core/src/main/java/org/redwingladder/steering/LapseHold.java
+++ b/core/src/main/java/org/redwingladder/steering/LapseHold.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Keeps registrations that lapsed while the store was away until their servers could return.
@@ -85,6 +86,16 @@
         return !mHeld.isEmpty();
     }
 
+    /** Returns the ids of the servers whose entries are held. */
+    public Set<String> held() {
+        return Set.copyOf(mHeld.keySet());
+    }
+
+    /** Returns whether this host's last call to the store failed. */
+    public boolean storeAway() {
+        return mAway;
+    }
+
     private boolean holding(long nowNanos) {
         if (mHolding && nowNanos - mHoldUntilNanos >= 0) {
             mHolding = false;
--- a/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
@@ -34,6 +34,7 @@
     private final LapseHold mHold = LapseHold.create();
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
+    private Map<String, ServerEntry> mUsed = Map.of();
     private boolean mServersKnown;
     private Passer mPasser = changes -> {};
 
@@ -48,6 +49,14 @@
 
     private record Decoded(long version, @Nullable ServerEntry entry) {}
 
+    /** Names where a change of a table came from. */
+    private enum Source {
+        STORE,
+        PUSH,
+        COPY,
+        HOLD_END
+    }
+
     StateKeeper(RowCodec codec, XnioIoThread thread, EventLog log, Receiver receiver) {
         mCodec = codec;
         mThread = thread;
@@ -110,7 +119,7 @@
         if (!mImages.get(table).replace(rows, position, position)) {
             return false;
         }
-        changed(table);
+        changed(table, Source.STORE);
         return true;
     }
 
@@ -120,7 +129,7 @@
         mImages.get(table).apply(rows, position);
         if (!rows.isEmpty()) {
             mPasser.pass(new PeerMessages.Changes(table, after, position, holding(), rows));
-            changed(table);
+            changed(table, Source.STORE);
         }
     }
 
@@ -133,7 +142,7 @@
         if (image.position() < changes.position()) {
             hold(changes.holding());
             image.apply(changes.rows(), changes.position());
-            changed(changes.table());
+            changed(changes.table(), Source.PUSH);
         }
         return true;
     }
@@ -170,18 +179,18 @@
         }
         hold(copy.holding());
         mLog.event("state", "adopted").with("table", table).with("position", position).write();
-        changed(table);
+        changed(table, Source.COPY);
         if (healthy(table)) {
             // The waiting call is silent or behind; a new one starts from what is known now.
             mFollowers.get(table).follow(position);
         }
     }
 
-    private void changed(StoreTable table) {
+    private void changed(StoreTable table, Source source) {
         if (table == StoreTable.CONTROL) {
             control();
         } else {
-            servers();
+            servers(source);
         }
     }
 
@@ -233,7 +242,7 @@
         }
     }
 
-    private void servers() {
+    private void servers(Source source) {
         long now = System.nanoTime();
         Map<String, ServerEntry> registered = new HashMap<>();
         List<StoreRow> rows = mImages.get(StoreTable.SERVERS).rows();
@@ -252,22 +261,47 @@
         }
         mServers.keySet().retainAll(keys);
         mServersKnown = true;
-        mReceiver.servers(mHold.update(registered, now));
+        use(mHold.update(registered, now), source);
         if (mHold.holdsAny()) {
-            mLog.event("state", "lapsed-servers-held").write();
+            mLog.event("state", "lapsed-servers-held")
+                    .with("servers", String.join(" ", mHold.held()))
+                    .with("storeAway", mHold.storeAway())
+                    .write();
             mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     private void releaseHeld() {
         if (mHold.holdsAny()) {
-            mReceiver.servers(mHold.current(System.nanoTime()));
+            use(mHold.current(System.nanoTime()), Source.HOLD_END);
         }
         if (mHold.holdsAny()) {
             mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void use(Map<String, ServerEntry> servers, Source source) {
+        StringBuilder left = new StringBuilder();
+        mUsed.forEach(
+                (id, before) -> {
+                    ServerEntry now = servers.get(id);
+                    if (now == null) {
+                        left.append(left.isEmpty() ? "" : " ").append(id).append(":GONE");
+                    } else if (now.draining() && !before.draining()) {
+                        left.append(left.isEmpty() ? "" : " ").append(id).append(":DRAINING");
+                    }
+                });
+        mUsed = Map.copyOf(servers);
+        if (!left.isEmpty()) {
+            mLog.event("state", "servers-left")
+                    .with("servers", left)
+                    .with("position", mImages.get(StoreTable.SERVERS).position())
+                    .with("source", source)
+                    .write();
+        }
+        mReceiver.servers(servers);
+    }
+
     private @Nullable ServerEntry decode(StoreRow row, long now) {
         byte[] value = row.value();
         if (value == null) {
--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -67,6 +67,11 @@
             return;
         }
         mFollowing = following;
+        mLog.event("store", following ? "follows" : "relies-on-others")
+                .with("table", mTable)
+                .with("position", position)
+                .with("lastFailed", mLastFailed)
+                .write();
         if (!following) {
             return;
         }
