Reproduce two ways in which a host keeps using a server that left

A host that stops following the store after a failed call takes the store as away for good and holds each removed server. Changes that a host finds by reading a whole table, as after a lost history, are not pushed.

--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/entry/ScriptedStore.java
@@ -0,0 +1,58 @@
+package org.redwingladder.entry;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps the calls of a host to the store until the test answers them. */
+final class ScriptedStore implements PlatformStore {
+    private final Map<StoreTable, Receiver<StorePage>> mReads = new EnumMap<>(StoreTable.class);
+    private final Map<StoreTable, Receiver<StorePage>> mWaits = new EnumMap<>(StoreTable.class);
+
+    @Override
+    public void read(StoreTable table, long deadlineNanos, Receiver<StorePage> receiver) {
+        mReads.put(table, receiver);
+    }
+
+    @Override
+    public void changes(
+            StoreTable table,
+            long afterPosition,
+            long waitMillis,
+            long deadlineNanos,
+            Receiver<StorePage> receiver) {
+        mWaits.put(table, receiver);
+    }
+
+    @Override
+    public void writeHost(
+            String key, byte @Nullable [] value, long deadlineNanos, Receiver<Long> receiver) {
+        receiver.done(1L);
+    }
+
+    /** Returns whether a reading of a table waits for its answer. */
+    boolean reads(StoreTable table) {
+        return mReads.containsKey(table);
+    }
+
+    /** Answers the reading of a table. */
+    void read(StoreTable table, long position, StoreRow... rows) {
+        mReads.remove(table).done(new StorePage(List.of(rows), position));
+    }
+
+    /** Answers the call that waits for changes of a table. */
+    void change(StoreTable table, long position, StoreRow... rows) {
+        mWaits.remove(table).done(new StorePage(List.of(rows), position));
+    }
+
+    /** Fails the call that waits for changes of a table. */
+    void failWait(StoreTable table, StoreException.Reason reason) {
+        mWaits.remove(table).failed(new StoreException(reason, "scripted"));
+    }
+
+    /** Fails the reading of a table. */
+    void failRead(StoreTable table, StoreException.Reason reason) {
+        mReads.remove(table).failed(new StoreException(reason, "scripted"));
+    }
+}
