Drop servers that left on every host within one push of the store's news

What callers and servers saw: requests reached servers whose registration was gone, for seconds or for good, on hosts that knew the newest position. Cause: LapseHold took the state of this host's last call as the state of the store. A host that stopped following after a failed call never cleared it and held each removed server for good; a connection that the store cut once, as at a dropped history, held them on all hosts for 2 s and more, since the flag was passed on without its end and the release came in steps of 2 s. Change: an outage needs two failed calls in a row, is forgotten by a host that stops asking, and only its end, seen by this host or told by another with the time that is left, holds entries; the release is at that time. What a reading of the whole table changes is pushed like other changes. StateKeeperTest and LapseHoldTest pass.

--- a/core/src/main/java/org/redwingladder/steering/LapseHold.java
+++ b/core/src/main/java/org/redwingladder/steering/LapseHold.java
@@ -9,15 +9,20 @@
  *
  * <p>Registrations expire while servers cannot reach the store. Servers that live are back within
  * about two seconds of the store's return; dropping their entries at once would leave services
- * without any server. Not thread-safe.
+ * without any server. Only an outage that this host saw end, or one that another host passes on,
+ * holds entries, and never for longer: a host that the store merely turns away learns from others
+ * which servers left. Not thread-safe.
  */
 public final class LapseHold {
     /** Time after the store's return in which living servers register again. */
     static final long RETURN_NANOS = 2_000_000_000L;
 
+    /** One failed call may be a broken connection; an outage fails the next call too. */
+    private static final int OUTAGE_FAILURES = 2;
+
     private final Map<String, ServerEntry> mCurrent = new HashMap<>();
     private final Map<String, ServerEntry> mHeld = new HashMap<>();
-    private boolean mAway;
+    private int mFailures;
     private long mHoldUntilNanos;
     private boolean mHolding;
 
@@ -28,31 +33,43 @@
         return new LapseHold();
     }
 
-    /** Notes that the store does not answer. */
-    public void storeLost() {
-        mAway = true;
+    /** Notes that a call to the store failed. */
+    public void storeFailed() {
+        mFailures++;
+    }
+
+    /** Notes that this host does not ask the store any more, so that it cannot see it return. */
+    public void storeNotAsked() {
+        mFailures = 0;
     }
 
     /** Notes that the store answers. */
     public void storeAnswers(long nowNanos) {
-        if (mAway) {
-            mAway = false;
-            mHolding = true;
-            mHoldUntilNanos = nowNanos + RETURN_NANOS;
+        if (mFailures >= OUTAGE_FAILURES) {
+            hold(RETURN_NANOS, nowNanos);
         }
+        mFailures = 0;
     }
 
-    /** Notes that another host, which passes changes on, waits for servers to return. */
-    public void othersHold(long nowNanos) {
-        if (!holding(nowNanos)) {
+    /**
+     * Notes that another host, which passes changes on, waits for servers to return.
+     *
+     * @param leftNanos for how much longer it waits
+     */
+    public void othersHold(long leftNanos, long nowNanos) {
+        hold(Math.min(leftNanos, RETURN_NANOS), nowNanos);
+    }
+
+    private void hold(long leftNanos, long nowNanos) {
+        if (leftNanos > leftNanos(nowNanos)) {
             mHolding = true;
-            mHoldUntilNanos = nowNanos + RETURN_NANOS;
+            mHoldUntilNanos = nowNanos + leftNanos;
         }
     }
 
-    /** Returns whether entries that lapse now are held. */
-    public boolean active(long nowNanos) {
-        return holding(nowNanos);
+    /** Returns for how much longer entries that lapse now are held, 0 if they are not. */
+    public long leftNanos(long nowNanos) {
+        return holding(nowNanos) ? mHoldUntilNanos - nowNanos : 0;
     }
 
     /** Takes over the registered servers and returns those to use. */
@@ -91,15 +108,10 @@
         return Set.copyOf(mHeld.keySet());
     }
 
-    /** Returns whether this host's last call to the store failed. */
-    public boolean storeAway() {
-        return mAway;
-    }
-
     private boolean holding(long nowNanos) {
         if (mHolding && nowNanos - mHoldUntilNanos >= 0) {
             mHolding = false;
         }
-        return mAway || mHolding;
+        return mHolding;
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -23,11 +23,11 @@
      * @param table the table
      * @param position the version up to which the copy is complete
      * @param changed the version of the last change
-     * @param holding whether the sender keeps lapsed entries for a while
+     * @param holdMillis for how much longer the sender keeps lapsed entries, 0 if it does not
      * @param rows all rows
      */
     record TableCopy(
-            StoreTable table, long position, long changed, boolean holding, List<StoreRow> rows) {}
+            StoreTable table, long position, long changed, long holdMillis, List<StoreRow> rows) {}
 
     /**
      * Holds changes of a table, as the sender had them from the store.
@@ -35,11 +35,11 @@
      * @param table the table
      * @param after the position that the changes follow
      * @param position the position with the changes
-     * @param holding whether the sender keeps lapsed entries for a while
+     * @param holdMillis for how much longer the sender keeps lapsed entries, 0 if it does not
      * @param rows the changed rows
      */
     record Changes(
-            StoreTable table, long after, long position, boolean holding, List<StoreRow> rows) {}
+            StoreTable table, long after, long position, long holdMillis, List<StoreRow> rows) {}
 
     /**
      * Passes changes on.
--- a/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StateKeeper.java
@@ -21,8 +21,6 @@
  * that cannot be read is logged once and has no effect; settings never go back.
  */
 final class StateKeeper implements TableFollower.Sink {
-    private static final long AFTER_HOLD_MILLIS = 2_050;
-
     private final RowCodec mCodec;
     private final XnioIoThread mThread;
     private final EventLog mLog;
@@ -36,6 +34,7 @@
     private Set<String> mEvacuated = Set.of();
     private Map<String, ServerEntry> mUsed = Map.of();
     private boolean mServersKnown;
+    private boolean mReleaseScheduled;
     private Passer mPasser = changes -> {};
 
     /** Receives changes of what is believed. */
@@ -115,10 +114,17 @@
 
     @Override
     public boolean replace(StoreTable table, List<StoreRow> rows, long position) {
+        TableImage image = mImages.get(table);
+        long after = image.position();
+        List<StoreRow> changes = image.changesTo(rows, position);
         // Removals before the reading are not listed, so that the reading's position stands in.
-        if (!mImages.get(table).replace(rows, position, position)) {
+        if (!image.replace(rows, position, position)) {
             return false;
         }
+        boolean firstReading = after == 0;
+        if (!firstReading) {
+            pass(table, after, position, changes);
+        }
         changed(table, Source.STORE);
         return true;
     }
@@ -127,12 +133,18 @@
     public void changes(StoreTable table, List<StoreRow> rows, long position) {
         long after = mImages.get(table).position();
         mImages.get(table).apply(rows, position);
+        pass(table, after, position, rows);
         if (!rows.isEmpty()) {
-            mPasser.pass(new PeerMessages.Changes(table, after, position, holding(), rows));
             changed(table, Source.STORE);
         }
     }
 
+    private void pass(StoreTable table, long after, long position, List<StoreRow> rows) {
+        if (!rows.isEmpty()) {
+            mPasser.pass(new PeerMessages.Changes(table, after, position, holdMillis(), rows));
+        }
+    }
+
     /** Takes over changes that another host passes on; false if changes before them are missing. */
     boolean passed(PeerMessages.Changes changes) {
         TableImage image = mImages.get(changes.table());
@@ -140,32 +152,39 @@
             return false;
         }
         if (image.position() < changes.position()) {
-            hold(changes.holding());
+            hold(changes.holdMillis());
             image.apply(changes.rows(), changes.position());
             changed(changes.table(), Source.PUSH);
         }
         return true;
     }
 
-    private boolean holding() {
-        return mHold.active(System.nanoTime());
+    private long holdMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(mHold.leftNanos(System.nanoTime()));
     }
 
-    private void hold(boolean othersHold) {
-        if (othersHold) {
-            mHold.othersHold(System.nanoTime());
+    private void hold(long millis) {
+        mHold.othersHold(TimeUnit.MILLISECONDS.toNanos(millis), System.nanoTime());
+    }
+
+    @Override
+    public void answered(StoreTable table) {
+        if (table == StoreTable.SERVERS) {
+            mHold.storeAnswers(System.nanoTime());
         }
     }
 
     @Override
-    public void healthy(StoreTable table, boolean healthy) {
-        if (table != StoreTable.SERVERS) {
-            return;
+    public void failed(StoreTable table) {
+        if (table == StoreTable.SERVERS) {
+            mHold.storeFailed();
         }
-        if (healthy) {
-            mHold.storeAnswers(System.nanoTime());
-        } else {
-            mHold.storeLost();
+    }
+
+    @Override
+    public void notAsked(StoreTable table) {
+        if (table == StoreTable.SERVERS) {
+            mHold.storeNotAsked();
         }
     }
 
@@ -177,7 +196,7 @@
         if (position <= image.position() || !image.replace(copy.rows(), position, copy.changed())) {
             return;
         }
-        hold(copy.holding());
+        hold(copy.holdMillis());
         mLog.event("state", "adopted").with("table", table).with("position", position).write();
         changed(table, Source.COPY);
         if (healthy(table)) {
@@ -265,18 +284,29 @@
         if (mHold.holdsAny()) {
             mLog.event("state", "lapsed-servers-held")
                     .with("servers", String.join(" ", mHold.held()))
-                    .with("storeAway", mHold.storeAway())
+                    .with("millis", holdMillis())
                     .write();
-            mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
+            releaseLater();
+        }
+    }
+
+    private void releaseLater() {
+        if (!mReleaseScheduled) {
+            mReleaseScheduled = true;
+            mThread.executeAfter(
+                    this::releaseHeld,
+                    mHold.leftNanos(System.nanoTime()) + 1,
+                    TimeUnit.NANOSECONDS);
         }
     }
 
     private void releaseHeld() {
+        mReleaseScheduled = false;
         if (mHold.holdsAny()) {
             use(mHold.current(System.nanoTime()), Source.HOLD_END);
         }
         if (mHold.holdsAny()) {
-            mThread.executeAfter(this::releaseHeld, AFTER_HOLD_MILLIS, TimeUnit.MILLISECONDS);
+            releaseLater();
         }
     }
 
@@ -326,7 +356,7 @@
                                         table,
                                         image.position(),
                                         image.changed(),
-                                        holding(),
+                                        holdMillis(),
                                         image.rows()));
                     }
                 });
--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -40,7 +40,12 @@
 
         void changes(StoreTable table, List<StoreRow> rows, long position);
 
-        void healthy(StoreTable table, boolean healthy);
+        void answered(StoreTable table);
+
+        void failed(StoreTable table);
+
+        /** Learns that the table is not asked for any more, since other hosts tell its changes. */
+        void notAsked(StoreTable table);
     }
 
     TableFollower(
@@ -73,6 +78,9 @@
                 .with("lastFailed", mLastFailed)
                 .write();
         if (!following) {
+            if (mRead) {
+                stopAsking();
+            }
             return;
         }
         if (mRead) {
@@ -82,6 +90,19 @@
         }
     }
 
+    /** Forgets how the last call ended, which says less and less of the store. */
+    private void stopAsking() {
+        mGeneration++;
+        if (mRetry != null) {
+            mRetry.remove();
+            mRetry = null;
+        }
+        mHealthy = false;
+        mLastFailed = false;
+        mLossTold = false;
+        mSink.notAsked(mTable);
+    }
+
     /** Reads the table anew, whatever call is under way. */
     void start() {
         long generation = ++mGeneration;
@@ -127,7 +148,7 @@
             mLog.event("store", "regained").with("table", mTable).write();
         }
         mBackOffMillis = FIRST_BACK_OFF_MILLIS;
-        mSink.healthy(mTable, true);
+        mSink.answered(mTable);
     }
 
     private void retryLater() {
@@ -187,7 +208,7 @@
                         .write();
             }
             mLastFailed = true;
-            mSink.healthy(mTable, false);
+            mSink.failed(mTable);
             if (mFollowing || !mRead) {
                 retryLater();
             }
--- a/daemon/src/main/java/org/redwingladder/entry/TableImage.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableImage.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Keeps a copy of one table of the store. It only moves forward: a reading that is older than the
@@ -33,6 +35,29 @@
         return true;
     }
 
+    /**
+     * Returns the changes that lead from the copy to a reading of the whole table.
+     *
+     * @param position the reading's position, which stands in for the versions of removals
+     */
+    List<StoreRow> changesTo(List<StoreRow> reading, long position) {
+        List<StoreRow> changes = new ArrayList<>();
+        Set<String> present = new HashSet<>();
+        for (StoreRow row : reading) {
+            present.add(row.key());
+            StoreRow known = mRows.get(row.key());
+            if (known == null || known.version() < row.version()) {
+                changes.add(row);
+            }
+        }
+        for (String key : mRows.keySet()) {
+            if (!present.contains(key)) {
+                changes.add(new StoreRow(key, position, null));
+            }
+        }
+        return changes;
+    }
+
     /** Takes over changes that follow the copy; what it already holds is passed over. */
     void apply(List<StoreRow> changes, long position) {
         for (StoreRow row : changes) {
