Let only chosen hosts follow the store, gather changes for 100 ms

Cause: each host followed the store for its first second and pushed every change to its region, and encoded and compressed each push once a target. Change: a host reads the tables once and follows only when ReaderChoice names it; a reader asks again 100 ms after a change at the earliest; a push is encoded once.

--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -127,7 +127,8 @@
 
     /** Passes changes on to the hosts of the region. */
     void pass(PeerMessages.Changes changes) {
-        PeerMessages.Push push = new PeerMessages.Push(Addresses.format(mConfig.peers()), changes);
+        byte[] push =
+                PeerCodec.write(new PeerMessages.Push(Addresses.format(mConfig.peers()), changes));
         for (HostEntry host : mMembers.alive(System.nanoTime())) {
             if (!host.name().equals(mConfig.host())
                     && mConfig.region().equals(mConfig.region(host.zone()))) {
@@ -179,7 +180,7 @@
         call(
                 address,
                 EXCHANGE,
-                message(mMembers.entries(System.nanoTime())),
+                PeerCodec.write(message(mMembers.entries(System.nanoTime()))),
                 body -> received(address, PeerCodec.read(body, PeerMessages.Exchange.class)));
     }
 
@@ -187,11 +188,11 @@
         void read(byte[] body) throws JsonException;
     }
 
-    private void call(String address, String path, Object message, BodyReader reader) {
+    private void call(String address, String path, byte[] message, BodyReader reader) {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_MILLIS);
         CallRequest request =
                 CallRequest.of(Methods.POST, Addresses.parse(address), path, deadline)
-                        .body(PeerCodec.write(message))
+                        .body(message)
                         .maxWholeBytes(MAX_MESSAGE_BYTES);
         mCaller.ask(request)
                 .whenComplete(
@@ -254,9 +255,10 @@
         call(
                 address,
                 COPY,
-                new PeerMessages.CopyRequest(
-                        mState.image(StoreTable.CONTROL).position(),
-                        mState.image(StoreTable.SERVERS).position()),
+                PeerCodec.write(
+                        new PeerMessages.CopyRequest(
+                                mState.image(StoreTable.CONTROL).position(),
+                                mState.image(StoreTable.SERVERS).position())),
                 body -> adopt(PeerCodec.read(body, PeerMessages.Copies.class)));
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -7,7 +7,10 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
-/** Follows one table of the platform's store: reads it once, then waits for its changes. */
+/**
+ * Follows one table of the platform's store: reads it once and, once this host is to follow the
+ * store, waits for its changes.
+ */
 final class TableFollower {
     /** Bounds the calls of an idle host; a change is told at once whatever the wait is. */
     private static final long WAIT_MILLIS = 12_000;
@@ -15,6 +18,9 @@
     /** A slow store takes up to a few hundred milliseconds for an answer. */
     private static final long ANSWER_MILLIS = 1_500;
 
+    /** Gathers changes that come together; a leaving server may get requests for seconds. */
+    private static final long GATHER_MILLIS = 100;
+
     private static final long FIRST_BACK_OFF_MILLIS = 150;
     private static final long LONGEST_BACK_OFF_MILLIS = 1_000;
 
@@ -29,7 +35,7 @@
     private boolean mHealthy;
     private boolean mLossTold;
     private boolean mStopped;
-    private boolean mFollowing = true;
+    private boolean mFollowing;
     private boolean mLastFailed;
     private boolean mRead;
 
@@ -85,8 +91,6 @@
         }
         if (mRead) {
             follow(position);
-        } else {
-            start();
         }
     }
 
@@ -139,6 +143,14 @@
                 new Receiver(generation, false));
     }
 
+    private void followLater(long position) {
+        if (mFollowing) {
+            mRetry =
+                    mThread.executeAfter(
+                            () -> follow(position), GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void answered() {
         mLastFailed = false;
         mRead = true;
@@ -184,7 +196,7 @@
                 retryLater();
                 return;
             }
-            follow(page.position());
+            followLater(page.position());
         }
 
         @Override
--- a/daemon/src/test/java/org/redwingladder/entry/ScriptedStore.java
+++ b/daemon/src/test/java/org/redwingladder/entry/ScriptedStore.java
@@ -36,6 +36,11 @@
         return mReads.containsKey(table);
     }
 
+    /** Returns whether a call waits for changes of a table. */
+    boolean waits(StoreTable table) {
+        return mWaits.containsKey(table);
+    }
+
     /** Answers the reading of a table. */
     void read(StoreTable table, long position, StoreRow... rows) {
         mReads.remove(table).done(new StorePage(List.of(rows), position));
--- a/daemon/src/test/java/org/redwingladder/entry/StateKeeperTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/StateKeeperTest.java
@@ -70,6 +70,7 @@
         run(() -> mKeeper.start(mStore, mPassed::add));
         run(() -> mStore.read(StoreTable.CONTROL, 10));
         run(() -> mStore.read(StoreTable.SERVERS, 10, row("s1", 1), row("s2", 2)));
+        run(() -> mKeeper.follow(true));
     }
 
     @AfterEach
