Copy a table from the next host if the one being asked stays silent

While a copy was under way every other sign of newer tables was passed over; with a host that stays silent that is a second, and one more exchange. Change: the last host that was ahead is asked once the copy has ended, if its tables are still newer. Measured: PeerExchangeTest areCopiedFromTheNextSenderIfTheFirstOneIsSilent fails on the code before (the second host is not asked within 20 s) and passes.

--- a/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerExchange.java
@@ -58,6 +58,10 @@
     private long mTicks;
     private boolean mHeardAny;
     private boolean mCopying;
+    private @Nullable Ahead mNextCopy;
+
+    /** Names a host and the versions of the tables that it has. */
+    private record Ahead(String address, long control, long servers) {}
 
     /** Returns what this host says of itself. */
     interface Self {
@@ -206,9 +210,6 @@
             @Nullable WholeAnswer answer,
             @Nullable Throwable cause,
             BodyReader reader) {
-        if (path.equals(COPY)) {
-            mCopying = false;
-        }
         String fault = cause == null ? null : String.valueOf(cause.getMessage());
         if (answer != null && answer.status() != 200) {
             fault = "status " + answer.status();
@@ -229,6 +230,18 @@
                 mLog.event("peers", "lost").with("address", address).with("cause", fault).write();
             }
         }
+        if (path.equals(COPY)) {
+            copyEnded();
+        }
+    }
+
+    private void copyEnded() {
+        mCopying = false;
+        Ahead next = mNextCopy;
+        mNextCopy = null;
+        if (next != null) {
+            copyFrom(next);
+        }
     }
 
     private void received(String address, PeerMessages.Exchange message) {
@@ -239,21 +252,24 @@
             }
         }
         mMembers.merge(message.hosts(), System.nanoTime());
-        boolean behind =
-                message.controlChanged() > mState.image(StoreTable.CONTROL).position()
-                        || message.serversChanged() > mState.image(StoreTable.SERVERS).position();
-        if (behind) {
-            copyFrom(address);
-        }
+        copyFrom(new Ahead(address, message.controlChanged(), message.serversChanged()));
     }
 
-    private void copyFrom(String address) {
+    /** Copies the tables from a host if it has newer ones, after a copy that is under way. */
+    private void copyFrom(Ahead host) {
+        boolean behind =
+                host.control() > mState.image(StoreTable.CONTROL).position()
+                        || host.servers() > mState.image(StoreTable.SERVERS).position();
+        if (!behind) {
+            return;
+        }
         if (mCopying) {
+            mNextCopy = host;
             return;
         }
         mCopying = true;
         call(
-                address,
+                host.address(),
                 COPY,
                 PeerCodec.write(
                         new PeerMessages.CopyRequest(
@@ -297,7 +313,10 @@
                 if (!mState.passed(push.changes())) {
                     // Without the changes before these a leaving server would go on to be used.
                     mMetrics.count("peers.changes-missed");
-                    copyFrom(push.from());
+                    long position = push.changes().position();
+                    boolean servers = push.changes().table() == StoreTable.SERVERS;
+                    copyFrom(
+                            new Ahead(push.from(), servers ? 0 : position, servers ? position : 0));
                 }
                 Responses.text(exchange, 200, "");
             } else {
--- a/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
@@ -119,9 +119,13 @@
     }
 
     private int push(long after) throws Exception {
+        return push(mOther, after);
+    }
+
+    private int push(RawBackend sender, long after) throws Exception {
         PeerMessages.Push push =
                 new PeerMessages.Push(
-                        Addresses.format(mOther.address()),
+                        Addresses.format(sender.address()),
                         new PeerMessages.Changes(
                                 StoreTable.SERVERS, after, after + 2, 0, List.of()));
         InetSocketAddress address =
@@ -144,9 +148,13 @@
     }
 
     private boolean asked(String path) throws InterruptedException {
+        return asked(mOther, path);
+    }
+
+    private static boolean asked(RawBackend host, String path) throws InterruptedException {
         long until = System.nanoTime() + LIMIT_NANOS;
         while (System.nanoTime() - until < 0) {
-            if (mOther.journal().stream().anyMatch(r -> r.path().equals(path))) {
+            if (host.journal().stream().anyMatch(r -> r.path().equals(path))) {
                 return true;
             }
             TimeUnit.MILLISECONDS.sleep(10);
@@ -163,6 +171,17 @@
             assertThat(asked("/peer/copy")).isTrue();
         }
 
+        /** Guards against news that is passed over because a silent host is being asked. */
+        @Test
+        void areCopiedFromTheNextSenderIfTheFirstOneIsSilent() throws Exception {
+            try (RawBackend silent = new RawBackend((request, out) -> true)) {
+                assertThat(push(silent, 5)).isEqualTo(200);
+                assertThat(asked(silent, "/peer/copy")).isTrue();
+                assertThat(push(9)).isEqualTo(200);
+                assertThat(asked("/peer/copy")).isTrue();
+            }
+        }
+
         /** Guards against a copy of a whole table for each change. */
         @Test
         void needNoCopyIfTheyFollowWhatIsKnown() throws Exception {
