Notice a silent connection to the store within 3 s

Connections may go silent without a reset; a waiting call was given 12 s and 1.5 s more, in which a host kept using servers that had left. Change: a waiting call lasts 2 s, with 1 s more for its answer.

--- a/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableFollower.java
@@ -12,11 +12,14 @@
  * store, waits for its changes.
  */
 final class TableFollower {
-    /** Bounds the calls of an idle host; a change is told at once whatever the wait is. */
-    private static final long WAIT_MILLIS = 12_000;
+    /** Bounds how long a connection that went silent unnoticed keeps changes from this host. */
+    private static final long WAIT_MILLIS = 2_000;
 
-    /** A slow store takes up to a few hundred milliseconds for an answer. */
-    private static final long ANSWER_MILLIS = 1_500;
+    /** Time for the answer of a waiting call beyond its wait; a slow store takes 250 ms. */
+    private static final long WAIT_SLACK_MILLIS = 1_000;
+
+    /** Time for reading a table, which takes a small host up to a second at its start. */
+    private static final long READ_MILLIS = 1_500;
 
     /** Gathers changes that come together; a leaving server may get requests for seconds. */
     private static final long GATHER_MILLIS = 100;
@@ -113,7 +116,7 @@
         mRetry = null;
         mStore.read(
                 mTable,
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ANSWER_MILLIS),
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_MILLIS),
                 new Receiver(generation, true));
     }
 
@@ -139,7 +142,7 @@
                 mTable,
                 position,
                 WAIT_MILLIS,
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + ANSWER_MILLIS),
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + WAIT_SLACK_MILLIS),
                 new Receiver(generation, false));
     }
 
