Share the I/O thread and the rows of tests on tables

Cause: the tests of the incident start a worker, run steps on its thread and write rows in four places. No check is changed.

--- a/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
@@ -26,10 +26,6 @@
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.ServerEntry;
 import org.redwingladder.steering.SteeringSettings;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 class PeerExchangeTest {
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -37,7 +33,7 @@
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private final EventLog mLog = EventLog.of("h1");
-    private XnioWorker mWorker;
+    private TestThread mThread;
     private HttpCaller mCaller;
     private Undertow mListener;
     private RawBackend mOther;
@@ -69,13 +65,12 @@
 
     @BeforeEach
     void start() throws Exception {
-        mWorker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+        mThread = new TestThread();
         mCaller =
                 HttpCaller.create(
-                        mWorker, new DefaultByteBufferPool(true, 16_384), CallerLimits.defaults());
+                        mThread.worker(),
+                        new DefaultByteBufferPool(true, 16_384),
+                        CallerLimits.defaults());
         mOther = new RawBackend((request, out) -> RawBackend.answer(request, out, 503, ""));
         EntryConfig config =
                 new EntryConfig(
@@ -90,20 +85,19 @@
                         NOWHERE,
                         new HostSize(1, 1000),
                         new EntryConfig.Bounds(2000, 5000, 0.2, 100, 10_000));
-        StateKeeper state =
-                new StateKeeper(new NoRows(), mWorker.getIoThread(0), mLog, new NoReceiver());
+        StateKeeper state = new StateKeeper(new NoRows(), mThread.thread(), mLog, new NoReceiver());
         PeerExchange exchange =
                 new PeerExchange(
                         config,
                         MemberTable.create("h1"),
                         state,
                         mCaller,
-                        mWorker.getIoThread(0),
+                        mThread.thread(),
                         mLog,
                         new EntryMetrics());
         mListener =
                 Undertow.builder()
-                        .setWorker(mWorker)
+                        .setWorker(mThread.worker())
                         .addHttpListener(0, "127.0.0.1")
                         .setHandler(exchange)
                         .build();
@@ -114,7 +108,7 @@
     void stop() throws Exception {
         mListener.stop();
         mCaller.close();
-        mWorker.shutdownNow();
+        mThread.close();
         mOther.close();
     }
 
--- a/daemon/src/test/java/org/redwingladder/entry/SpreadTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/SpreadTest.java
@@ -1,8 +1,5 @@
 package org.redwingladder.entry;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-import static org.assertj.core.api.Assertions.assertThat;
-
 import io.undertow.Undertow;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
@@ -13,8 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -27,10 +22,6 @@
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.ServerEntry;
 import org.redwingladder.steering.SteeringSettings;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /**
  * Runs the hosts of a region without the exchanges between random pairs, whose time grows with the
@@ -40,12 +31,11 @@
     /** About twice the hosts of a region of the grown deployments. */
     private static final int HOSTS = 100;
 
-    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final InetSocketAddress NOWHERE =
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
     private final List<Host> mHosts = new ArrayList<>();
-    private XnioWorker mWorker;
+    private TestThread mThread;
     private HttpCaller mCaller;
     private long mBeats;
 
@@ -64,13 +54,13 @@
             mMembers = MemberTable.create(name);
             mListener =
                     Undertow.builder()
-                            .setWorker(mWorker)
+                            .setWorker(mThread.worker())
                             .addHttpListener(0, "127.0.0.1")
                             .setHandler(this::handle)
                             .build();
             mListener.start();
             EventLog log = EventLog.of(name);
-            mKeeper = new StateKeeper(new Rows(), mWorker.getIoThread(0), log, this);
+            mKeeper = new StateKeeper(new StateRows(), mThread.thread(), log, this);
             mExchange =
                     new PeerExchange(
                             new EntryConfig(
@@ -88,7 +78,7 @@
                             mMembers,
                             mKeeper,
                             mCaller,
-                            mWorker.getIoThread(0),
+                            mThread.thread(),
                             log,
                             new EntryMetrics());
         }
@@ -134,60 +124,37 @@
         }
     }
 
-    /** Reads the state of a server from its row. */
-    private static final class Rows implements RowCodec {
-        @Override
-        public ControlRow control(String key, byte[] value) {
-            return new ControlRow.Other();
-        }
-
-        @Override
-        public ServerEntry server(String key, byte[] value, long nowNanos) {
-            boolean draining = new String(value, UTF_8).equals("draining");
-            return new ServerEntry(key, "a", "10.0.0.1:80", "z1", 4, draining, 1, 0);
-        }
-    }
-
     @BeforeEach
     void start() throws Exception {
-        mWorker =
-                Xnio.getInstance()
-                        .createWorker(
-                                OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+        mThread = new TestThread();
         mCaller =
                 HttpCaller.create(
-                        mWorker, new DefaultByteBufferPool(true, 16_384), CallerLimits.defaults());
+                        mThread.worker(),
+                        new DefaultByteBufferPool(true, 16_384),
+                        CallerLimits.defaults());
         for (int i = 0; i < HOSTS; i++) {
             Host host = new Host("h" + i);
             mHosts.add(host);
-            run(() -> host.mKeeper.start(host.mStore, host.mExchange::pass));
-            run(
+            mThread.run(() -> host.mKeeper.start(host.mStore, host.mExchange::pass));
+            mThread.run(
                     () ->
                             host.mStore.read(
                                     StoreTable.SERVERS,
                                     10,
-                                    row("s1", 1, "ready"),
-                                    row("s2", 2, "ready"),
-                                    row("s3", 3, "ready")));
+                                    StateRows.ready("s1", 1),
+                                    StateRows.ready("s2", 2),
+                                    StateRows.ready("s3", 3)));
         }
     }
 
     @AfterEach
     void stop() throws Exception {
         for (Host host : mHosts) {
-            run(host.mKeeper::stop);
+            mThread.run(host.mKeeper::stop);
             host.mListener.stop();
         }
         mCaller.close();
-        mWorker.shutdownNow();
-    }
-
-    private void run(Runnable step) throws Exception {
-        CompletableFuture.runAsync(step, mWorker.getIoThread(0)).get(20, TimeUnit.SECONDS);
-    }
-
-    private static StoreRow row(String key, long version, String state) {
-        return new StoreRow(key, version, state.getBytes(UTF_8));
+        mThread.close();
     }
 
     /** Lets a host know that all others are alive. */
@@ -198,12 +165,8 @@
         }
     }
 
-    private void awaitAll(Set<String> usable) throws InterruptedException {
-        long until = System.nanoTime() + LIMIT_NANOS;
-        while (!behind(usable).isEmpty() && System.nanoTime() - until < 0) {
-            TimeUnit.MILLISECONDS.sleep(10);
-        }
-        assertThat(behind(usable)).isEmpty();
+    private void awaitAll(Set<String> usable) throws Exception {
+        mThread.await(() -> behind(usable).isEmpty());
     }
 
     private List<String> behind(Set<String> usable) {
@@ -218,19 +181,19 @@
         @Test
         void areKnownToAllHostsOnceOneReadTheTableAfterALostHistory() throws Exception {
             Host reader = mHosts.get(0);
-            run(() -> reader.mKeeper.follow(true));
-            run(
+            mThread.run(() -> reader.mKeeper.follow(true));
+            mThread.run(
                     () ->
                             reader.mStore.failWait(
                                     StoreTable.SERVERS, StoreException.Reason.HISTORY_LOST));
-            run(
+            mThread.run(
                     () -> {
                         introduce(reader);
                         reader.mStore.read(
                                 StoreTable.SERVERS,
                                 12,
-                                row("s2", 2, "ready"),
-                                row("s3", 11, "draining"));
+                                StateRows.ready("s2", 2),
+                                StateRows.draining("s3", 11));
                     });
             awaitAll(Set.of("s2"));
         }
@@ -238,22 +201,19 @@
         @Test
         void areKnownToHostsThatMissedAnEarlierPush() throws Exception {
             Host reader = mHosts.get(0);
-            run(() -> reader.mKeeper.follow(true));
-            run(() -> reader.mStore.change(StoreTable.SERVERS, 11, row("s3", 11, "draining")));
-            run(() -> introduce(reader));
-            long until = System.nanoTime() + LIMIT_NANOS;
-            while (!waits(reader) && System.nanoTime() - until < 0) {
-                TimeUnit.MILLISECONDS.sleep(10);
-            }
-            run(() -> introduce(reader));
-            run(() -> reader.mStore.change(StoreTable.SERVERS, 12, row("s1", 12, "draining")));
+            mThread.run(() -> reader.mKeeper.follow(true));
+            mThread.run(
+                    () ->
+                            reader.mStore.change(
+                                    StoreTable.SERVERS, 11, StateRows.draining("s3", 11)));
+            mThread.run(() -> introduce(reader));
+            mThread.await(() -> reader.mStore.waits(StoreTable.SERVERS));
+            mThread.run(() -> introduce(reader));
+            mThread.run(
+                    () ->
+                            reader.mStore.change(
+                                    StoreTable.SERVERS, 12, StateRows.draining("s1", 12)));
             awaitAll(Set.of("s2"));
         }
-
-        private boolean waits(Host host) throws Exception {
-            boolean[] waits = new boolean[1];
-            run(() -> waits[0] = host.mStore.waits(StoreTable.SERVERS));
-            return waits[0];
-        }
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/redwingladder/entry/TestThread.java
@@ -0,0 +1,65 @@
+package org.redwingladder.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** Holds the I/O thread on which a host's state lives, and runs the steps of a test on it. */
+final class TestThread implements AutoCloseable {
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    private final XnioWorker mWorker;
+
+    TestThread() throws Exception {
+        mWorker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
+    }
+
+    XnioWorker worker() {
+        return mWorker;
+    }
+
+    XnioIoThread thread() {
+        return mWorker.getIoThread(0);
+    }
+
+    void run(Runnable step) throws Exception {
+        CompletableFuture.runAsync(step, thread()).get(20, TimeUnit.SECONDS);
+    }
+
+    <T> T call(Callable<T> step) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        thread().execute(
+                        () -> {
+                            try {
+                                result.complete(step.call());
+                            } catch (Exception e) {
+                                result.completeExceptionally(e);
+                            }
+                        });
+        return result.get(20, TimeUnit.SECONDS);
+    }
+
+    /** Waits until a condition, which is evaluated on the thread, holds. */
+    void await(Callable<Boolean> condition) throws Exception {
+        long until = System.nanoTime() + LIMIT_NANOS;
+        while (!call(condition) && System.nanoTime() - until < 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(call(condition)).isTrue();
+    }
+
+    @Override
+    public void close() {
+        mWorker.shutdownNow();
+    }
+}
