Test that living hosts are pushed to in a region of 288 hosts

Cause: the mended spread rests on pushes to the hosts that a reader takes as alive; whether exchanges between random pairs keep all of them alive in larger regions was not shown. Change: MemberSpreadTest plays the exchanges of 9, 36, 99 and 288 hosts of a region in virtual time, without losses.

--- /dev/null
+++ b/core/src/test/java/org/redwingladder/steering/MemberSpreadTest.java
@@ -0,0 +1,115 @@
+package org.redwingladder.steering;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Runs the exchanges of a region's hosts in virtual time. */
+class MemberSpreadTest {
+    private static final long MILLI = 1_000_000L;
+    private static final int ZONES = 3;
+    private static final long SEED = 20261204;
+
+    /** The period of the exchanges, of which each second one goes to any zone. */
+    private static final long PERIOD_MILLIS = 600;
+
+    private static final long WARM_UP_MILLIS = 10_000;
+    private static final long END_MILLIS = 25_000;
+
+    private static final class Host {
+        private final String mName;
+        private final String mZone;
+        private final MemberTable mMembers;
+        private long mBeats;
+
+        Host(int number, String zone) {
+            mName = "h" + number;
+            mZone = zone;
+            mMembers = MemberTable.create(mName);
+        }
+
+        void beat(long now) {
+            mBeats++;
+            mMembers.self(entry(), now);
+        }
+
+        HostEntry entry() {
+            return new HostEntry(mName, 1, mBeats, mZone, mName, mName, true, true, 1, Map.of());
+        }
+    }
+
+    private record Tick(long nanos, int host, long number) {}
+
+    private static void exchange(Host from, Host to, long now) {
+        List<HostEntry> told = from.mMembers.entries(now);
+        to.mMembers.merge(told, now);
+        from.mMembers.merge(to.mMembers.entriesBeyond(told, now), now);
+    }
+
+    /** Returns the pairs of which one took the other as silent, though all hosts were alive. */
+    private static Set<String> mistakes(int hostsPerZone) {
+        SplittableRandom random = new SplittableRandom(SEED);
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < ZONES * hostsPerZone; i++) {
+            hosts.add(new Host(i, "z" + i % ZONES));
+        }
+        PriorityQueue<Tick> ticks =
+                new PriorityQueue<>((a, b) -> Long.compare(a.nanos(), b.nanos()));
+        for (int i = 0; i < hosts.size(); i++) {
+            hosts.get(i).beat(0);
+            for (Host other : hosts) {
+                hosts.get(i).mMembers.merge(List.of(other.entry()), 0);
+            }
+            ticks.add(new Tick(random.nextLong(PERIOD_MILLIS * MILLI), i, 1));
+        }
+        Set<String> mistakes = new TreeSet<>();
+        for (Tick tick = ticks.poll(); tick.nanos() < END_MILLIS * MILLI; tick = ticks.poll()) {
+            Host host = hosts.get(tick.host());
+            long now = tick.nanos();
+            host.beat(now);
+            partner(hosts, host, host.mZone, now, random);
+            if (tick.number() % 2 == 0) {
+                partner(hosts, host, null, now, random);
+            }
+            if (now > WARM_UP_MILLIS * MILLI) {
+                Set<String> alive = new HashSet<>();
+                host.mMembers.alive(now).forEach(entry -> alive.add(entry.name()));
+                for (Host other : hosts) {
+                    if (!alive.contains(other.mName)) {
+                        mistakes.add(host.mName + " takes " + other.mName + " as silent");
+                    }
+                }
+            }
+            long period = PERIOD_MILLIS * 7 / 8 + random.nextLong(PERIOD_MILLIS / 4);
+            ticks.add(new Tick(now + period * MILLI, tick.host(), tick.number() + 1));
+        }
+        return mistakes;
+    }
+
+    private static void partner(
+            List<Host> hosts, Host host, String zone, long now, SplittableRandom random) {
+        HostEntry partner = host.mMembers.partner(zone, now, random);
+        if (partner != null) {
+            exchange(host, hosts.get(Integer.parseInt(partner.name().substring(1))), now);
+        }
+    }
+
+    @Nested
+    class LivingHosts {
+        @ParameterizedTest
+        @CsvSource({"3", "12", "33", "96"})
+        void areNotTakenAsSilent(int hostsPerZone) {
+            assertThat(mistakes(hostsPerZone)).as("seed " + SEED).isEmpty();
+        }
+    }
+}
