Wait for closed connections before the test of a spent retry budget

Cause: the test closes both backend servers and sends at once. A payment on a pooled connection whose end the caller has not noticed yet may have run, so "unknown" is the true answer to it. The two tests beside it wait until the pool is empty for this reason; this one did not.

Change: the three tests close through one function that waits until the pool is empty. The check of each answer stays as it was.

--- a/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
+++ b/daemon/src/test/java/org/redwingladder/request/BackendFaultsTest.java
@@ -52,6 +52,14 @@
         return backend.journal().stream().filter(r -> r.path().equals(path)).count();
     }
 
+    /** A payment on a connection whose end is not noticed yet has an unknown outcome. */
+    private void closeAndAwait(RawBackend backend) throws Exception {
+        backend.close();
+        Eventually.until(
+                "the pooled connections are closed",
+                () -> mDeployment.host("e1").mCaller.openConnections(backend.address()) == 0);
+    }
+
     private void assertLostOnce(Reply reply, String reason) {
         assertThat(reply.status()).isEqualTo(502);
         assertThat(reply.reason()).isEqualTo(reason);
@@ -211,10 +219,7 @@
         /** Guards against a refused connection that counts as work that may have run. */
         @Test
         void paymentsRunElsewhereAfterARefusedConnection() throws Exception {
-            mNear.close();
-            Eventually.until(
-                    "the pooled connections are closed",
-                    () -> mDeployment.host("e1").mCaller.openConnections(mNear.address()) == 0);
+            closeAndAwait(mNear);
 
             assertThat(mDeployment.post("e1", "/pay", "5").body()).isEqualTo("from afar");
             assertThat(runs(mFar, "/pay")).isEqualTo(1);
@@ -223,11 +228,7 @@
         /** Guards against requests refused at a closed site while another one has room. */
         @Test
         void aClosedSiteIsLeftWithinTheBudget() throws Exception {
-            mNear.close();
-            // A payment on a connection whose end is not noticed yet has an unknown outcome.
-            Eventually.until(
-                    "the pooled connections are closed",
-                    () -> mDeployment.host("e1").mCaller.openConnections(mNear.address()) == 0);
+            closeAndAwait(mNear);
             int answered = 0;
             for (int i = 0; i < 20; i++) {
                 answered += mDeployment.post("e1", "/pay", "5").status() == 200 ? 1 : 0;
@@ -242,8 +243,8 @@
         /** Guards against retries that multiply the load of an overload. */
         @Test
         void aSpentBudgetEndsTheRetries() throws Exception {
-            mNear.close();
-            mFar.close();
+            closeAndAwait(mNear);
+            closeAndAwait(mFar);
             int budgetSpent = 0;
             for (int i = 0; i < 20; i++) {
                 Reply reply = mDeployment.post("e1", "/pay", "5");
