Read the wall clock first when the start-by time of a request is derived

What callers could see: an owner of a site that is paused and wakes after another host has taken over could have work started beside its successor, above the cap.

The monotonic clock was read first. A pause between the two readings put the whole pause on top of the confirmation, and the backend server then accepts the work after the pause. Class: two clocks read in an order in which a pause extends a promise.

Change: the wall clock is read first, so that a pause makes the time earlier.

--- a/daemon/src/main/java/org/redwingladder/request/BackendCall.java
+++ b/daemon/src/main/java/org/redwingladder/request/BackendCall.java
@@ -28,21 +28,27 @@
         call.headers().remove(WireHeaders.IDEMPOTENCY_KEY);
         call.requestId(inbound.requestId());
         call.header(WireHeaders.DEADLINE, Long.toString(inbound.deadlineMillis()));
-        call.header(
-                WireHeaders.START_BY, Long.toString(startBy(inbound, time, confirmedUntilNanos)));
+        long latestMillis = Math.min(inbound.deadlineMillis(), inbound.startByMillis());
+        long startBy = startBy(latestMillis, time, confirmedUntilNanos);
+        call.header(WireHeaders.START_BY, Long.toString(startBy));
         if (inbound.body().length > 0) {
             call.body(inbound.body());
         }
         return caller.send(call, attempt);
     }
 
-    private static long startBy(InboundRequest inbound, TimeSource time, long confirmedUntil) {
-        long nanosLeft = confirmedUntil - time.nanos();
-        long confirmedMillis =
-                nanosLeft > TimeUnit.DAYS.toNanos(1)
-                        ? Long.MAX_VALUE
-                        : time.millis() + TimeUnit.NANOSECONDS.toMillis(nanosLeft);
-        return Math.min(
-                Math.min(inbound.deadlineMillis(), inbound.startByMillis()), confirmedMillis);
+    /**
+     * Returns the last instant at which the work may start, in epoch milliseconds.
+     *
+     * @param latestMillis the last instant if the confirmation lasts longer
+     */
+    static long startBy(long latestMillis, TimeSource time, long confirmedUntilNanos) {
+        // A pause between the two readings must make the result earlier, so the wall clock is
+        // first.
+        long nowMillis = time.millis();
+        long nanosLeft = confirmedUntilNanos - time.nanos();
+        return nanosLeft > TimeUnit.DAYS.toNanos(1)
+                ? latestMillis
+                : Math.min(latestMillis, nowMillis + TimeUnit.NANOSECONDS.toMillis(nanosLeft));
     }
 }
