Do not count expired requests as in flight in the stand-in

Cause: the stand-in's backend server put a request into its queue, counted it, and only then saw that its time to start had passed. maxInFlight, which tests compare with caps, so counted work that was refused and never ran.

Change: expired requests are refused before they are counted. Work that waits or runs counts as before. BackendServerTest fails before (1 instead of 0).

--- a/standin/src/main/java/org/redwingladder/standin/SlotQueue.java
+++ b/standin/src/main/java/org/redwingladder/standin/SlotQueue.java
@@ -25,8 +25,11 @@
         mLoad = load;
     }
 
-    /** Takes work in, or returns false if there is no room. */
+    /** Takes work in, or returns false if there is no room. Expired work is refused at once. */
     boolean offer(Work work) {
+        if (refusedAsExpired(work)) {
+            return true;
+        }
         synchronized (this) {
             if (mRunning >= mSlots && mWaiting.size() >= mBacklog) {
                 return false;
@@ -38,6 +41,18 @@
         return true;
     }
 
+    private boolean refusedAsExpired(Work work) {
+        synchronized (this) {
+            if (!work.isExpired(System.currentTimeMillis())) {
+                return false;
+            }
+            work.setState(Work.State.DONE);
+            mExpired++;
+        }
+        work.exchange().getIoThread().execute(work::refuseExpired);
+        return true;
+    }
+
     /** Ends work that ran for its service time; returns false if it had ended before. */
     boolean completed(Work work) {
         synchronized (this) {
--- a/standin/src/test/java/org/redwingladder/standin/BackendServerTest.java
+++ b/standin/src/test/java/org/redwingladder/standin/BackendServerTest.java
@@ -101,6 +101,15 @@
             }
         }
 
+        /** Guards against a request that was refused and counts against the cap. */
+        @Test
+        void expiredWorkIsNotCountedAsInFlight() throws Exception {
+            mClient.call("POST", "/work", "x", "Redwing-Start-By", "1000");
+
+            assertThat(mServer.stats().expired()).isEqualTo(1);
+            assertThat(mServer.stats().maxInFlight()).isZero();
+        }
+
         @Test
         void shedsAboveSlotsAndBacklog() throws Exception {
             for (int i = 0; i < 4; i++) {
