Keep the place under a cap of work that was given up until it has ended

What callers saw: the listed failure of OwnerFailureTest$Frozen: once 3 requests in flight at a backend server whose cap is 2.

Cause: when an attempt ended without an answer (client gone, deadline passed, connection lost), its place under the caps was free at once, while its slot was kept for 2 ms until the backend server had seen the close. The next request could arrive before the close was seen. After a frozen host wakes, its requests pass their deadlines together, and the new owner gives up several that are running. Class: a place counted free when the decision is taken, not when the work has ended.

Change: such a place is held for 1 s, the margin that a takeover of the site leaves as well. Answers, refusals and refused connections free it at once. The slots of cancelled attempts have a class of their own now.

What remains: a backend server that sees a close later than 1 s while it goes on working can still exceed the cap.

--- a/core/src/main/java/org/redwingladder/limits/InFlightGate.java
+++ b/core/src/main/java/org/redwingladder/limits/InFlightGate.java
@@ -1,5 +1,8 @@
 package org.redwingladder.limits;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Counts the requests in flight under one cap.
  *
@@ -8,6 +11,7 @@
  */
 public final class InFlightGate {
     private int mCap;
+    private final Deque<Long> mLeavingAtNanos = new ArrayDeque<>();
     private int mInFlight;
     private int mCarriedOver;
     private long mCarriedUntilNanos;
@@ -62,14 +66,31 @@
      * @throws IllegalStateException if no place is taken
      */
     public void leave() {
-        if (mInFlight == 0) {
+        if (mLeavingAtNanos.size() >= mInFlight) {
             throw new IllegalStateException("no request is in flight");
         }
         mInFlight--;
     }
 
-    /** Returns the requests in flight, those carried over included. */
+    /**
+     * Gives a place back at {@code atNanos}, for work that may still run until then. Calls come in
+     * the order of their instants.
+     *
+     * @throws IllegalStateException if no place is taken
+     */
+    public void leaveAt(long atNanos) {
+        if (mLeavingAtNanos.size() >= mInFlight) {
+            throw new IllegalStateException("no request is in flight");
+        }
+        mLeavingAtNanos.add(atNanos);
+    }
+
+    /** Returns the requests in flight, those carried over and those that may still run included. */
     public int inFlight(long nowNanos) {
+        while (!mLeavingAtNanos.isEmpty() && mLeavingAtNanos.peekFirst() - nowNanos <= 0) {
+            mLeavingAtNanos.removeFirst();
+            mInFlight--;
+        }
         return mInFlight + (nowNanos < mCarriedUntilNanos ? mCarriedOver : 0);
     }
 
--- a/core/src/main/java/org/redwingladder/limits/SiteLimits.java
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -177,6 +177,19 @@
         }
     }
 
+    /**
+     * Gives the places of a request back at {@code atNanos}, for work that was given up and may
+     * still run until then; a later release has no effect.
+     */
+    public void releaseAt(Admission.Admitted admitted, long atNanos) {
+        if (!admitted.releaseOnce()) {
+            return;
+        }
+        for (CapState cap : admitted.caps()) {
+            cap.mGate.leaveAt(atNanos);
+        }
+    }
+
     /** Returns the pacer of answers to a zone, or null if its link is not limited. */
     public @Nullable BitPacer pacerTo(String zone) {
         String region = mRegionOfZone.get(zone);
--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -1,8 +1,6 @@
 package org.redwingladder.routing;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +16,11 @@
 
 /** Follows the attempts in flight of one site: answers, hedges, probes and ejections. */
 final class InFlight {
-    /** Until a backend server has seen that a connection was closed, its slot is still taken. */
-    private static final long CLOSE_NANOS = 2_000_000L;
+    /**
+     * How long work whose connection was closed may still run and counts against the caps; as long
+     * as the margin that a takeover leaves.
+     */
+    private static final long GIVEN_UP_NANOS = 1_000_000_000L;
 
     /** A backend server that takes this many times as long as its class's mean counts as slow. */
     private static final double SLOW = 3;
@@ -33,7 +34,7 @@
     private final Site mSite;
     private final Map<Long, Flight> mFlights = new LinkedHashMap<>();
     private final Map<Long, Attempt> mAttempts = new LinkedHashMap<>();
-    private final Deque<Closing> mClosing = new ArrayDeque<>();
+    private final ClosingSlots mClosing = new ClosingSlots();
     private final int[] mByClass = new int[WorkClass.values().length];
     private long mNextAttempt = 1;
 
@@ -41,9 +42,6 @@
         mSite = site;
     }
 
-    /** Holds a slot whose attempt was cancelled a moment ago. */
-    private record Closing(Backend backend, WorkClass workClass, long freeAtNanos) {}
-
     int count(WorkClass workClass) {
         return mByClass[workClass.ordinal()];
     }
@@ -140,7 +138,11 @@
         flight.mAttempts.remove(attempt);
         attempt.mBackend.mInFlight--;
         mByClass[flight.mWorkClass.ordinal()]--;
-        mSite.mLimits.release(attempt.mAdmission);
+        if (result == AttemptResult.LOST) {
+            mSite.mLimits.releaseAt(attempt.mAdmission, nowNanos + GIVEN_UP_NANOS);
+        } else {
+            mSite.mLimits.release(attempt.mAdmission);
+        }
         judge(attempt, result, nowNanos);
         if (attempt.mKind == AttemptKind.PROBE) {
             return new Ended(out, null);
@@ -255,8 +257,8 @@
         if (!attempt.mStreaming) {
             OutlierDetector.givenUp(attempt.mBackend, age, mSite.times(flight.mWorkClass));
         }
-        mSite.mLimits.release(attempt.mAdmission);
-        mClosing.add(new Closing(attempt.mBackend, flight.mWorkClass, nowNanos + CLOSE_NANOS));
+        mSite.mLimits.releaseAt(attempt.mAdmission, nowNanos + GIVEN_UP_NANOS);
+        mClosing.add(attempt.mBackend, flight.mWorkClass, nowNanos);
         out.add(new Cancel(attempt.mId, attempt.mBackend.mSpec.name()));
     }
 
@@ -273,7 +275,12 @@
 
     /** Does what is due: slots that became free, expired requests, hedges, probes, ejections. */
     void tick(List<DispatchAction> out, long nowNanos) {
-        freeClosed(nowNanos);
+        mClosing.free(
+                nowNanos,
+                (backend, workClass) -> {
+                    backend.mInFlight--;
+                    mByClass[workClass.ordinal()]--;
+                });
         for (Flight flight : List.copyOf(mFlights.values())) {
             if (flight.mDecided) {
                 continue;
@@ -295,14 +302,6 @@
         AgeWatch.ejectOutliers(mSite, mAttempts.values(), nowNanos);
     }
 
-    private void freeClosed(long nowNanos) {
-        while (!mClosing.isEmpty() && mClosing.peekFirst().freeAtNanos() <= nowNanos) {
-            Closing closing = mClosing.removeFirst();
-            closing.backend().mInFlight--;
-            mByClass[closing.workClass().ordinal()]--;
-        }
-    }
-
     /**
      * Hedges what is due at backend servers that have turned slow. These requests come before the
      * queue: they are older, and unlike others that take long they gain from a second attempt.
@@ -380,7 +379,7 @@
 
     /** Returns when the next hedge, freed slot or returning backend server is due. */
     long wakeAtNanos() {
-        long at = mClosing.isEmpty() ? Long.MAX_VALUE : mClosing.peekFirst().freeAtNanos();
+        long at = mClosing.nextFreeNanos();
         for (Backend backend : mSite.mPool.each()) {
             at = Math.min(at, backend.returnsAtNanos(PROBE_WAIT_NANOS));
         }
--- /dev/null
+++ b/core/src/test/java/org/redwingladder/routing/CapsOfGivenUpWorkTest.java
@@ -0,0 +1,109 @@
+package org.redwingladder.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.redwingladder.limits.SiteCap;
+import org.redwingladder.limits.SiteLimits;
+import org.redwingladder.routing.DispatchAction.Cancel;
+import org.redwingladder.routing.DispatchAction.Refuse;
+import org.redwingladder.routing.DispatchAction.Send;
+
+class CapsOfGivenUpWorkTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long SECOND = 1_000 * MILLI;
+
+    private final SiteDispatcher mDispatcher =
+            SiteDispatcher.create(
+                    new SiteConfig(
+                            "s",
+                            10 * SECOND,
+                            10 * SECOND,
+                            66,
+                            List.of(new BackendSpec("b", 8, 100, false))),
+                    SiteLimits.create(
+                            Map.of("z", "r"),
+                            List.of(new SiteCap("c", SiteCap.ANY, -1, 1)),
+                            Map.of(),
+                            0),
+                    new Random(1),
+                    0);
+
+    private List<DispatchAction> offer(long id, long deadline, long now) {
+        SiteRequest request = new SiteRequest(id, "z", "k", WorkClass.SHORT, deadline, false);
+        List<DispatchAction> actions = new ArrayList<>(mDispatcher.offer(request, SECOND, now));
+        actions.addAll(mDispatcher.next(now));
+        return actions;
+    }
+
+    private Send send(long id, long deadline, long now) {
+        List<DispatchAction> actions = offer(id, deadline, now);
+        assertThat(actions).hasSize(1).first().isInstanceOf(Send.class);
+        return (Send) actions.get(0);
+    }
+
+    private void assertPlaceIsKeptFor(long givenUpAt) {
+        assertThat(offer(2, 60 * SECOND, givenUpAt + MILLI))
+                .hasSize(1)
+                .first()
+                .isInstanceOf(Refuse.class);
+        assertThat(offer(3, 60 * SECOND, givenUpAt + SECOND))
+                .hasSize(1)
+                .first()
+                .isInstanceOf(Send.class);
+    }
+
+    @Nested
+    class Cancelled {
+        /** Guards against work above the cap while a backend server has not seen the close. */
+        @Test
+        void aClientThatLeavesKeepsItsPlaceForAWhile() {
+            send(1, 10 * SECOND, 0);
+
+            assertThat(mDispatcher.cancelled(1, SECOND))
+                    .hasSize(1)
+                    .first()
+                    .isInstanceOf(Cancel.class);
+
+            assertPlaceIsKeptFor(SECOND);
+        }
+
+        /** Guards against work above the cap after a deadline has passed. */
+        @Test
+        void anExpiredRequestKeepsItsPlaceForAWhile() {
+            send(1, SECOND, 0);
+
+            assertThat(mDispatcher.tick(SECOND)).hasSize(2);
+
+            assertPlaceIsKeptFor(SECOND);
+        }
+    }
+
+    @Nested
+    class Lost {
+        /** Guards against work above the cap after the connection to running work was lost. */
+        @Test
+        void aLostConnectionKeepsItsPlaceForAWhile() {
+            Send sent = send(1, 10 * SECOND, 0);
+
+            mDispatcher.completed(sent.attempt(), AttemptResult.LOST, SECOND);
+
+            assertPlaceIsKeptFor(SECOND);
+        }
+
+        /** Guards against a place that stays taken after an answer. */
+        @Test
+        void anAnswerFreesThePlaceAtOnce() {
+            Send sent = send(1, 10 * SECOND, 0);
+
+            mDispatcher.completed(sent.attempt(), AttemptResult.ANSWERED, SECOND);
+
+            send(2, 60 * SECOND, SECOND);
+        }
+    }
+}
