Count given-up work when a site is handed over

Change: SiteDispatcher.mayRun counts attempts and the places under caps that are still held; SiteOwner reports it in its release. The new case of CapsOfGivenUpWorkTest fails with attempts alone (0 instead of 1).

--- a/core/src/main/java/org/redwingladder/limits/InFlightGate.java
+++ b/core/src/main/java/org/redwingladder/limits/InFlightGate.java
@@ -87,11 +87,16 @@
 
     /** Returns the requests in flight, those carried over and those that may still run included. */
     public int inFlight(long nowNanos) {
+        return entered(nowNanos) + (nowNanos < mCarriedUntilNanos ? mCarriedOver : 0);
+    }
+
+    /** Returns the requests that entered and may still run, without those carried over. */
+    public int entered(long nowNanos) {
         while (!mLeavingAtNanos.isEmpty() && mLeavingAtNanos.peekFirst() - nowNanos <= 0) {
             mLeavingAtNanos.removeFirst();
             mInFlight--;
         }
-        return mInFlight + (nowNanos < mCarriedUntilNanos ? mCarriedOver : 0);
+        return mInFlight;
     }
 
     /** Returns when carried-over work ends, or {@code nowNanos} if there is none. */
--- a/core/src/main/java/org/redwingladder/limits/SiteLimits.java
+++ b/core/src/main/java/org/redwingladder/limits/SiteLimits.java
@@ -190,6 +190,11 @@
         }
     }
 
+    /** Returns the most requests under one cap that may still run, without those carried over. */
+    public int mayRun(long nowNanos) {
+        return mCaps.values().stream().mapToInt(cap -> cap.mGate.entered(nowNanos)).max().orElse(0);
+    }
+
     /** Returns the pacer of answers to a zone, or null if its link is not limited. */
     public @Nullable BitPacer pacerTo(String zone) {
         String region = mRegionOfZone.get(zone);
--- a/core/src/main/java/org/redwingladder/routing/InFlight.java
+++ b/core/src/main/java/org/redwingladder/routing/InFlight.java
@@ -46,6 +46,10 @@
         return mByClass[workClass.ordinal()];
     }
 
+    int attempts() {
+        return mAttempts.size();
+    }
+
     boolean isEmpty() {
         return mAttempts.isEmpty() && mClosing.isEmpty();
     }
--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -256,6 +256,11 @@
         return out;
     }
 
+    /** Returns how many attempts may still run, those that were given up a moment ago included. */
+    public int mayRun(long nowNanos) {
+        return Math.max(mInFlight.attempts(), mSite.mLimits.mayRun(nowNanos));
+    }
+
     /** Returns when {@link #tick} is to be called next; {@link Long#MAX_VALUE} if never. */
     public long wakeAtNanos() {
         int waiting = mQueue.size(WorkClass.SHORT) + mQueue.size(WorkClass.LONG);
--- a/core/src/test/java/org/redwingladder/routing/CapsOfGivenUpWorkTest.java
+++ b/core/src/test/java/org/redwingladder/routing/CapsOfGivenUpWorkTest.java
@@ -73,6 +73,16 @@
             assertPlaceIsKeptFor(SECOND);
         }
 
+        /** Guards against an owner that hands a site over while its work may still run. */
+        @Test
+        void aSiteThatIsHandedOverCountsIt() {
+            send(1, 10 * SECOND, 0);
+            mDispatcher.cancelled(1, SECOND);
+
+            assertThat(mDispatcher.mayRun(SECOND + MILLI)).isEqualTo(1);
+            assertThat(mDispatcher.mayRun(2 * SECOND)).isZero();
+        }
+
         /** Guards against work above the cap after a deadline has passed. */
         @Test
         void anExpiredRequestKeepsItsPlaceForAWhile() {
--- a/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
+++ b/daemon/src/main/java/org/redwingladder/request/SiteOwner.java
@@ -95,14 +95,15 @@
     /**
      * Refuses what waits and takes nothing more; what is in flight goes on.
      *
-     * @param inFlight completes with the number of attempts that go on, when nothing more is sent
+     * @param inFlight completes with the number of attempts that may still run, when nothing more
+     *     is sent
      */
     void stop(CompletableFuture<Integer> inFlight) {
         run(
                 () -> {
                     mStopped = true;
                     carryOut(mDispatcher.refuseQueued(RefusalReason.NOT_OWNER, 0, mTime.nanos()));
-                    inFlight.complete(mAttempts.size());
+                    inFlight.complete(mDispatcher.mayRun(mTime.nanos()));
                 });
     }
 
