--- a/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
+++ b/core/src/main/java/org/redwingladder/routing/SiteDispatcher.java
@@ -256,7 +256,10 @@
         return out;
     }
 
-    /** Returns how many attempts may still run, those that were given up a moment ago included. */
+    /**
+     * Returns how many attempts may still run, those that were given up a moment ago included. What
+     * waits in the queue holds places under caps and counts as well.
+     */
     public int mayRun(long nowNanos) {
         return Math.max(mInFlight.attempts(), mSite.mLimits.mayRun(nowNanos));
     }
