Share the set-up of the tests of hosts that talk to each other

Cause: read as a newcomer, PeerExchangeTest, SpreadTest and StateKeeperTest set up caller, listener, configuration and receiver alike, and InFlightGate stated one precondition twice.

Change: TestThread makes caller and listener, TestConfig the configuration, ServersReceiver passes servers on; the gate has one check. Every assertion is as it was.

--- a/core/src/main/java/org/redwingladder/limits/InFlightGate.java
+++ b/core/src/main/java/org/redwingladder/limits/InFlightGate.java
@@ -10,8 +10,8 @@
  * Instants are nanoseconds of one monotonic clock. Not thread-safe.
  */
 public final class InFlightGate {
-    private int mCap;
     private final Deque<Long> mLeavingAtNanos = new ArrayDeque<>();
+    private int mCap;
     private int mInFlight;
     private int mCarriedOver;
     private long mCarriedUntilNanos;
@@ -66,9 +66,7 @@
      * @throws IllegalStateException if no place is taken
      */
     public void leave() {
-        if (mLeavingAtNanos.size() >= mInFlight) {
-            throw new IllegalStateException("no request is in flight");
-        }
+        checkPlaceTaken();
         mInFlight--;
     }
 
@@ -79,10 +77,14 @@
      * @throws IllegalStateException if no place is taken
      */
     public void leaveAt(long atNanos) {
+        checkPlaceTaken();
+        mLeavingAtNanos.add(atNanos);
+    }
+
+    private void checkPlaceTaken() {
         if (mLeavingAtNanos.size() >= mInFlight) {
             throw new IllegalStateException("no request is in flight");
         }
-        mLeavingAtNanos.add(atNanos);
     }
 
     /** Returns the requests in flight, those carried over and those that may still run included. */
--- a/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerExchangeTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.undertow.Undertow;
-import io.undertow.server.DefaultByteBufferPool;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -11,21 +10,16 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.redwingladder.http.Addresses;
-import org.redwingladder.http.CallerLimits;
 import org.redwingladder.http.HttpCaller;
 import org.redwingladder.http.RawBackend;
-import org.redwingladder.steering.HostSize;
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.ServerEntry;
-import org.redwingladder.steering.SteeringSettings;
 
 class PeerExchangeTest {
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -52,56 +46,24 @@
         }
     }
 
-    private static final class NoReceiver implements StateKeeper.Receiver {
-        @Override
-        public void settings(SteeringSettings settings) {}
-
-        @Override
-        public void evacuated(Set<String> zones) {}
-
-        @Override
-        public void servers(Map<String, ServerEntry> servers) {}
-    }
-
     @BeforeEach
     void start() throws Exception {
         mThread = new TestThread();
-        mCaller =
-                HttpCaller.create(
-                        mThread.worker(),
-                        new DefaultByteBufferPool(true, 16_384),
-                        CallerLimits.defaults());
+        mCaller = mThread.caller();
         mOther = new RawBackend((request, out) -> RawBackend.answer(request, out, 503, ""));
-        EntryConfig config =
-                new EntryConfig(
-                        "h1",
-                        "z1",
-                        Map.of("z1", "r1"),
-                        NOWHERE,
-                        NOWHERE,
-                        NOWHERE,
-                        NOWHERE,
-                        List.of(),
-                        NOWHERE,
-                        new HostSize(1, 1000),
-                        new EntryConfig.Bounds(2000, 5000, 0.2, 100, 10_000));
-        StateKeeper state = new StateKeeper(new NoRows(), mThread.thread(), mLog, new NoReceiver());
+        StateKeeper state =
+                new StateKeeper(
+                        new NoRows(), mThread.thread(), mLog, new ServersReceiver(servers -> {}));
         PeerExchange exchange =
                 new PeerExchange(
-                        config,
+                        TestConfig.host("h1", TestConfig.NOWHERE),
                         MemberTable.create("h1"),
                         state,
                         mCaller,
                         mThread.thread(),
                         mLog,
                         new EntryMetrics());
-        mListener =
-                Undertow.builder()
-                        .setWorker(mThread.worker())
-                        .addHttpListener(0, "127.0.0.1")
-                        .setHandler(exchange)
-                        .build();
-        mListener.start();
+        mListener = mThread.listen(exchange);
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/redwingladder/entry/SpreadTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/SpreadTest.java
@@ -1,9 +1,7 @@
 package org.redwingladder.entry;
 
 import io.undertow.Undertow;
-import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -15,13 +13,10 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.redwingladder.http.Addresses;
-import org.redwingladder.http.CallerLimits;
 import org.redwingladder.http.HttpCaller;
 import org.redwingladder.steering.HostEntry;
-import org.redwingladder.steering.HostSize;
 import org.redwingladder.steering.MemberTable;
 import org.redwingladder.steering.ServerEntry;
-import org.redwingladder.steering.SteeringSettings;
 
 /**
  * Runs the hosts of a region without the exchanges between random pairs, whose time grows with the
@@ -31,16 +26,13 @@
     /** About twice the hosts of a region of the grown deployments. */
     private static final int HOSTS = 100;
 
-    private static final InetSocketAddress NOWHERE =
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-
     private final List<Host> mHosts = new ArrayList<>();
     private TestThread mThread;
     private HttpCaller mCaller;
     private long mBeats;
 
     /** Holds a host whose store the test scripts. */
-    private final class Host implements StateKeeper.Receiver {
+    private final class Host {
         private final ScriptedStore mStore = new ScriptedStore();
         private final MemberTable mMembers;
         private final StateKeeper mKeeper;
@@ -52,29 +44,17 @@
         Host(String name) {
             mName = name;
             mMembers = MemberTable.create(name);
-            mListener =
-                    Undertow.builder()
-                            .setWorker(mThread.worker())
-                            .addHttpListener(0, "127.0.0.1")
-                            .setHandler(this::handle)
-                            .build();
-            mListener.start();
+            mListener = mThread.listen(this::handle);
             EventLog log = EventLog.of(name);
-            mKeeper = new StateKeeper(new StateRows(), mThread.thread(), log, this);
+            mKeeper =
+                    new StateKeeper(
+                            new StateRows(),
+                            mThread.thread(),
+                            log,
+                            new ServersReceiver(this::believe));
             mExchange =
                     new PeerExchange(
-                            new EntryConfig(
-                                    name,
-                                    "z1",
-                                    Map.of("z1", "r1"),
-                                    NOWHERE,
-                                    NOWHERE,
-                                    NOWHERE,
-                                    address(),
-                                    List.of(),
-                                    NOWHERE,
-                                    new HostSize(1, 1000),
-                                    new EntryConfig.Bounds(2000, 5000, 0.2, 100, 10_000)),
+                            TestConfig.host(name, address()),
                             mMembers,
                             mKeeper,
                             mCaller,
@@ -98,21 +78,14 @@
                     beats,
                     "z1",
                     Addresses.format(address()),
-                    Addresses.format(NOWHERE),
+                    Addresses.format(TestConfig.NOWHERE),
                     true,
                     true,
                     1,
                     Map.of());
         }
 
-        @Override
-        public void settings(SteeringSettings settings) {}
-
-        @Override
-        public void evacuated(Set<String> zones) {}
-
-        @Override
-        public void servers(Map<String, ServerEntry> servers) {
+        private void believe(Map<String, ServerEntry> servers) {
             Set<String> usable = new HashSet<>();
             servers.forEach(
                     (id, server) -> {
@@ -127,11 +100,7 @@
     @BeforeEach
     void start() throws Exception {
         mThread = new TestThread();
-        mCaller =
-                HttpCaller.create(
-                        mThread.worker(),
-                        new DefaultByteBufferPool(true, 16_384),
-                        CallerLimits.defaults());
+        mCaller = mThread.caller();
         for (int i = 0; i < HOSTS; i++) {
             Host host = new Host("h" + i);
             mHosts.add(host);
--- a/daemon/src/test/java/org/redwingladder/entry/StateKeeperTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/StateKeeperTest.java
@@ -11,8 +11,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.redwingladder.steering.ServerEntry;
-import org.redwingladder.steering.SteeringSettings;
 
 class StateKeeperTest {
     private final ScriptedStore mStore = new ScriptedStore();
@@ -21,25 +19,15 @@
     private TestThread mThread;
     private StateKeeper mKeeper;
 
-    private final class Believed implements StateKeeper.Receiver {
-        @Override
-        public void settings(SteeringSettings settings) {}
-
-        @Override
-        public void evacuated(Set<String> zones) {}
-
-        @Override
-        public void servers(Map<String, ServerEntry> servers) {
-            mServers = Set.copyOf(servers.keySet());
-        }
-    }
-
     @BeforeEach
     void start() throws Exception {
         mThread = new TestThread();
         mKeeper =
                 new StateKeeper(
-                        new StateRows(), mThread.thread(), EventLog.of("h1"), new Believed());
+                        new StateRows(),
+                        mThread.thread(),
+                        EventLog.of("h1"),
+                        new ServersReceiver(s -> mServers = Set.copyOf(s.keySet())));
         mThread.run(() -> mKeeper.start(mStore, mPassed::add));
         mThread.run(() -> mStore.read(StoreTable.CONTROL, 10));
         mThread.run(
--- a/daemon/src/test/java/org/redwingladder/entry/TestThread.java
+++ b/daemon/src/test/java/org/redwingladder/entry/TestThread.java
@@ -2,9 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.undertow.Undertow;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.redwingladder.http.CallerLimits;
+import org.redwingladder.http.HttpCaller;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -24,14 +29,28 @@
                                 OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
     }
 
-    XnioWorker worker() {
-        return mWorker;
-    }
-
     XnioIoThread thread() {
         return mWorker.getIoThread(0);
     }
 
+    /** Returns a caller that shares the thread. */
+    HttpCaller caller() {
+        return HttpCaller.create(
+                mWorker, new DefaultByteBufferPool(true, 16_384), CallerLimits.defaults());
+    }
+
+    /** Starts a listener on the thread, at a port that the system chooses. */
+    Undertow listen(HttpHandler handler) {
+        Undertow listener =
+                Undertow.builder()
+                        .setWorker(mWorker)
+                        .addHttpListener(0, "127.0.0.1")
+                        .setHandler(handler)
+                        .build();
+        listener.start();
+        return listener;
+    }
+
     void run(Runnable step) throws Exception {
         CompletableFuture.runAsync(step, thread()).get(20, TimeUnit.SECONDS);
     }
