Log on which proof a response rests that promises not run

Cause: of two answers with the same 503 the log could not tell whether the host, a server or the HTTP library said so, and answers that were forwarded in time were logged one in 16 only.

Refused lines name who said that the request has not run and why, forwarded responses with 408, 421, 429 or 503 are always logged, and each response with such a status is counted, also one that a library sends. explain shows the proof. The logic is unchanged.

ExplainCommandTest.namesTheProofOfARefusal failed before and passes.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -138,6 +138,7 @@
 
     private void handle(HttpServerExchange exchange, long now) {
         mMetrics.count("request.received");
+        exchange.addResponseCommitListener(this::logStatus);
         if (mStopping.getAsBoolean()) {
             exchange.setPersistent(false);
         }
@@ -173,6 +174,13 @@
         receiveBody(exchange, request);
     }
 
+    /** Counts the statuses that promise that a request has not run, also those of the library. */
+    private void logStatus(HttpServerExchange exchange) {
+        if (Responses.promisesNotRun(exchange.getStatusCode())) {
+            mMetrics.count("response.not-run." + exchange.getStatusCode());
+        }
+    }
+
     private String notReadyReason(@Nullable RouteTable routes) {
         if (routes == null) {
             return "no settings yet";
@@ -234,6 +242,7 @@
         mLog.event("request", "refused")
                 .with("id", client.requestId())
                 .with("reason", reason)
+                .with("proof", "host:UNSENT")
                 .write();
         mWire.writeRetryAfter(exchange.getResponseHeaders(), NOT_READY_RETRY_AFTER_MILLIS);
         respond(exchange, 503, "not run: " + reason + "\n");
--- a/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
@@ -11,6 +11,7 @@
     private final ProxyHandler mHandler;
     private final ProxyHandler.RoutedRequest mRequest;
     private final StringBuilder mAttempts = new StringBuilder(0);
+    private final StringBuilder mProofs = new StringBuilder(0);
 
     RequestLog(ProxyHandler handler, ProxyHandler.RoutedRequest request) {
         mHandler = handler;
@@ -50,6 +51,10 @@
                 .append(elapsedMillis())
                 .append(':')
                 .append(result);
+        mProofs.append(mProofs.isEmpty() ? "" : " ")
+                .append(server.registration().id())
+                .append(':')
+                .append(result);
     }
 
     /** Logs that the result of an attempt ejected its server or ended the ejection. */
@@ -92,13 +97,18 @@
                 .with("servers", refuse.servers())
                 .with("limited", refuse.limitedServers())
                 .with("retryAfter", refuse.retryAfterMillis())
+                .with("proof", "host:UNSENT")
                 .write();
     }
 
     /** Logs a refusal of a request that was sent but that certainly no server ran. */
     void refused(String reason) {
         mHandler.metrics().count("request.refused." + reason);
-        line("refused").with("reason", reason).with("sends", mAttempts).write();
+        line("refused")
+                .with("reason", reason)
+                .with("sends", mAttempts)
+                .with("proof", mProofs)
+                .write();
     }
 
     /** Logs an error response of this host to a request that was not refused. */
@@ -122,11 +132,15 @@
         long millis = elapsedMillis();
         mHandler.metrics().recordResponseTime(mRequest.service(), millis);
         boolean late = millis > mRequest.route().objectiveMillis();
-        if (!mHandler.sampleResponse() && !late) {
+        boolean promise = Responses.promisesNotRun(status);
+        if (!mHandler.sampleResponse() && !late && !promise) {
             return;
         }
-        line("answered")
-                .with("status", status)
+        EventLog.Line line = line("answered");
+        if (promise) {
+            line.with("proof", "none");
+        }
+        line.with("status", status)
                 .with("server", placement.server().registration().id())
                 .with("objective", mRequest.route().objectiveMillis())
                 .with("sent", millisSinceArrival(sentNanos))
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -55,6 +55,10 @@
     }
 
     private static String refused(LogLine line, List<LogLine> changes) {
+        return refusal(line, changes) + proof(line);
+    }
+
+    private static String refusal(LogLine line, List<LogLine> changes) {
         String reason = line.text("reason");
         return switch (reason) {
             case "OVERLOADED" ->
@@ -94,6 +98,12 @@
         return limited > 0 ? "; " + limited + " more limit their requests a second" : "";
     }
 
+    /** Tells on what a status rests that promises that the request has not run. */
+    private static String proof(LogLine line) {
+        String proof = line.text("proof");
+        return proof.isEmpty() ? "" : "; proof: " + proof;
+    }
+
     private static String answered(LogLine line) {
         long millis = line.number("millis");
         long objective = line.number("objective");
@@ -104,7 +114,8 @@
                         + millis
                         + " ms, objective "
                         + objective
-                        + " ms";
+                        + " ms"
+                        + proof(line);
         if (millis <= objective) {
             return took;
         }
--- a/tool/src/test/java/org/redwingladder/tool/ExplainCommandTest.java
+++ b/tool/src/test/java/org/redwingladder/tool/ExplainCommandTest.java
@@ -82,6 +82,24 @@
                     .contains("last change: 1000 h1 state: evacuated zones=[z1]");
         }
 
+        /** Guards against a promise of which nobody can tell on what it rests. */
+        @Test
+        void namesTheProofOfARefusal() throws Exception {
+            String file =
+                    log(
+                            "h1",
+                            request(
+                                    "refused",
+                                    "h1",
+                                    2_000,
+                                    "r8",
+                                    0,
+                                    "\"reason\":\"FULL\",\"sends\":\"i-1:0-4:FULL\","
+                                            + "\"proof\":\"i-1:FULL\""));
+            assertThat(explain("r8", file)).isZero();
+            assertThat(out()).contains("proof: i-1:FULL");
+        }
+
         /** Guards against a refusal that hides that servers limit their requests. */
         @Test
         void namesTheRateLimitsOfARefusal() throws Exception {
