Send a request to an id and to an address at most once

Cause: the servers that a request had tried were compared as objects. A registration that lapses and returns, or that a restart replaces, while the request is out is another object, so that a retry went to the same server, mostly on the same connection.

Tried servers are now compared by id and by address. With that each pair of request and connection occurs at most once, and the request id identifies each copy. The class is state that is compared by object instead of identity.

The address in its fixture was the same for all servers and is now one for each.

--- a/bench/src/main/java/org/redwingladder/emulator/EmulatedHost.java
+++ b/bench/src/main/java/org/redwingladder/emulator/EmulatedHost.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +20,7 @@
 import org.redwingladder.steering.ServiceSpec;
 import org.redwingladder.steering.ServiceTimeEstimator;
 import org.redwingladder.steering.SlidingWindowRetryBudget;
+import org.redwingladder.steering.TriedServers;
 import org.redwingladder.steering.WeightedService;
 
 /** Plays an entry host over the real decisions, with what it can know at the time. */
@@ -168,7 +168,7 @@
         private final EmulatedRequest mRequest;
         private final Route mRoute;
         private final AttemptTracker mHistory;
-        private final Set<Backend> mTried = new HashSet<>();
+        private final TriedServers mTried = new TriedServers();
         private final List<Backend> mOpen = new ArrayList<>();
         private boolean mDone;
 
@@ -232,7 +232,7 @@
         private void send(BalancerDecision.Send placement) {
             Backend backend = placement.server();
             long sent = mWorld.time().nowNanos();
-            mTried.add(backend);
+            mTried.add(backend.registration());
             mOpen.add(backend);
             mHistory.recordSent();
             backend.recordSent(sent);
--- a/core/src/main/java/org/redwingladder/steering/LoadBalancer.java
+++ b/core/src/main/java/org/redwingladder/steering/LoadBalancer.java
@@ -98,7 +98,7 @@
             Route route,
             String service,
             @Nullable String objectKey,
-            Set<Backend> excluded,
+            TriedServers excluded,
             long untilNanos) {}
 
     private LoadBalancer(
@@ -248,7 +248,7 @@
         for (Backend backend : mRankings.ranked(request.service(), request.objectKey())) {
             String region = mBackends.regionOf(backend.registration().zone());
             if (request.route().allowsRegion(region)
-                    && !request.excluded().contains(backend)
+                    && !request.excluded().contains(backend.registration())
                     && backend.usable(nowNanos)
                     && backend.inFlight() < maxInFlight) {
                 if (mRates.hasPermit(backend, request.service(), nowNanos)) {
--- a/core/src/test/java/org/redwingladder/steering/LoadBalancerTest.java
+++ b/core/src/test/java/org/redwingladder/steering/LoadBalancerTest.java
@@ -39,7 +39,7 @@
     }
 
     private static ServerRegistration server(String id, String zone, long coldUntil) {
-        return new ServerRegistration(id, "a", "10.0.0.1:80", zone, 4, false, 1, coldUntil);
+        return new ServerRegistration(id, "a", id + ":80", zone, 4, false, 1, coldUntil);
     }
 
     private void registerServers(int inFirst, int inSecond) {
@@ -57,8 +57,10 @@
 
     private BalancerDecision choose(
             Route route, @Nullable String key, Set<Backend> excluded, long now) {
+        TriedServers tried = new TriedServers();
+        excluded.forEach(server -> tried.add(server.registration()));
         return mBalancer.choose(
-                new LoadBalancer.Request(route, "a", key, excluded, now + 800_000_000L), now);
+                new LoadBalancer.Request(route, "a", key, tried, now + 800_000_000L), now);
     }
 
     private Backend send(BalancerDecision placement, long now) {
@@ -290,5 +292,36 @@
                             .server();
             assertThat(second).isNotSameAs(first);
         }
+
+        /** A copy of its first response would pass as the response to the second send. */
+        @Test
+        void excludesAServerThatRegisteredAgain() {
+            registerServers(1, 0);
+            Backend first = send(choose(route(1, Set.of()), "o", Set.of(), 0), 0);
+            mBackends.updateServers(List.of(), 0);
+            registerServers(1, 0);
+            assertThat(choose(route(1, Set.of()), "o", Set.of(first), 0))
+                    .isInstanceOf(BalancerDecision.Refuse.class);
+        }
+
+        @Test
+        void excludesTheAddressOfAnEarlierAttempt() {
+            registerServers(1, 0);
+            Backend first = send(choose(route(1, Set.of()), "o", Set.of(), 0), 0);
+            mBackends.updateServers(
+                    List.of(
+                            new ServerRegistration(
+                                    "other",
+                                    "a",
+                                    first.registration().address(),
+                                    "z1",
+                                    4,
+                                    false,
+                                    1,
+                                    0)),
+                    0);
+            assertThat(choose(route(1, Set.of()), "o", Set.of(first), 0))
+                    .isInstanceOf(BalancerDecision.Refuse.class);
+        }
     }
 }
--- a/core/src/test/java/org/redwingladder/steering/RateLimitedServersTest.java
+++ b/core/src/test/java/org/redwingladder/steering/RateLimitedServersTest.java
@@ -54,7 +54,7 @@
 
     private BalancerDecision choose(long now) {
         return mBalancer.choose(
-                new LoadBalancer.Request(mRoute, "a", "o", Set.of(), now + SECOND), now);
+                new LoadBalancer.Request(mRoute, "a", "o", new TriedServers(), now + SECOND), now);
     }
 
     /** Sends as many requests as possible within a time and returns the number for each server. */
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -3,9 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +21,7 @@
 import org.redwingladder.steering.LoadBalancer;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.SendResult;
+import org.redwingladder.steering.TriedServers;
 import org.xnio.XnioExecutor;
 
 /**
@@ -63,7 +62,7 @@
     private final byte[] mBody;
     private final RequestLog mLog;
     private final long mDeadlineNanos;
-    private final Set<Backend> mTried = new HashSet<>();
+    private final TriedServers mTried = new TriedServers();
     private final List<Attempt> mPendingAttempts = new ArrayList<>();
     private final AttemptTracker mHistory;
     private boolean mDone;
@@ -126,7 +125,7 @@
 
     private void send(BalancerDecision.Send placement) {
         Attempt attempt = new Attempt(placement);
-        mTried.add(placement.server());
+        mTried.add(placement.server().registration());
         mPendingAttempts.add(attempt);
         attempt.send();
     }
