Require a proof for each response that promises not run

What callers saw: 503, 429 or 408 for a request that a server had run, and a request that ran at two servers (RefusedRequestTest, each run).

Cause: three parts decided by themselves whether a request had run. A server's own 503, 429 or 408 was forwarded because it bears a stamp, though only Not-Run says that the server did not run the request. A response with a stamp and Not-Run was taken as a refusal and retried. A counter took back "the last attempt" at each rejection, also for one that had ended before. The class is a promise without its proof.

NotRunProof is now needed for each such status. For a request that was sent it comes from AttemptTracker only, which keeps the first result of each attempt and starts none after a proof was given out. SendResult.ofResponse decides what a response proves: a server's status without Not-Run becomes UNPROVEN_REFUSAL, is retried if the request is idempotent, and else answered with 502 without the stamp; the stamp must not go with another status than the server's. A response that contradicts itself is LOST. RefusalGuard checks the status of each response as it is sent, also those of the library.

AttemptTrackerTest plays 20,000 orders of results; its broken variant, the counter, promises wrongly in some of them.

--- a/bench/src/main/java/org/redwingladder/emulator/EmulatedHost.java
+++ b/bench/src/main/java/org/redwingladder/emulator/EmulatedHost.java
@@ -234,14 +234,19 @@
             long sent = mWorld.time().nowNanos();
             mTried.add(backend.registration());
             mOpen.add(backend);
-            mHistory.recordSent();
+            AttemptTracker.Attempt attempt = mHistory.start(backend.registration().id());
             backend.recordSent(sent);
             EmulatedServer server = mWorld.server(backend.registration().id());
-            mWorld.send(mZone, server, mRequest, result -> ended(placement, sent, result, server));
+            mWorld.send(
+                    mZone,
+                    server,
+                    mRequest,
+                    result -> ended(placement, attempt, sent, result, server));
         }
 
         private void ended(
                 BalancerDecision.Send placement,
+                AttemptTracker.Attempt attempt,
                 long sent,
                 SendResult result,
                 EmulatedServer server) {
@@ -250,6 +255,7 @@
             double expected = placement.waitMillis() + placement.serviceMillis();
             backend.recordEnd(mDone ? SendResult.CANCELLED : result, sent, expected, now);
             mOpen.remove(backend);
+            attempt.end(result);
             if (result == SendResult.ANSWERED
                     && !mWithout.contains(Strategy.Mechanism.RATE_LIMITS)) {
                 readLimit(backend, server, sent);
@@ -298,11 +304,6 @@
 
         private void again(SendResult result) {
             long now = mWorld.time().nowNanos();
-            if (result == SendResult.UNREACHABLE) {
-                mHistory.recordNotSent();
-            } else {
-                mHistory.recordRejected();
-            }
             if (!mOpen.isEmpty()) {
                 return;
             }
--- a/core/src/main/java/org/redwingladder/steering/AttemptTracker.java
+++ b/core/src/main/java/org/redwingladder/steering/AttemptTracker.java
@@ -2,8 +2,14 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
 /**
- * Tracks the attempts of one request and decides whether it may be retried or hedged.
+ * Tracks the attempts of one request and decides whether it may be retried or hedged, and whether
+ * it certainly has not run.
  *
  * <p>A non-idempotent request is retried only if no earlier attempt can have run. Not thread-safe.
  */
@@ -12,9 +18,8 @@
     private static final int MAX_UNREACHABLE = 3;
 
     private final Route mRoute;
-    private int mMayHaveRun;
-    private int mAttempts;
-    private int mUnreachable;
+    private final List<Attempt> mAttempts = new ArrayList<>();
+    private boolean mRefused;
 
     private AttemptTracker(Route route) {
         mRoute = requireNonNull(route);
@@ -25,34 +30,92 @@
         return new AttemptTracker(route);
     }
 
-    /** Records that an attempt is sent. */
-    public void recordSent() {
-        mAttempts++;
-        mMayHaveRun++;
-    }
-
     /**
-     * Records that the last attempt reached a server that rejected the request without running it.
+     * One attempt. It may have run from its start on, until its result says otherwise; only the
+     * first result counts.
      */
-    public void recordRejected() {
-        mMayHaveRun--;
+    public static final class Attempt {
+        private final String mServerId;
+        private @Nullable SendResult mResult;
+
+        private Attempt(String serverId) {
+            mServerId = requireNonNull(serverId);
+        }
+
+        /**
+         * Records how the attempt ended. Later results are ignored, as they may belong to another
+         * response or to a connection that was given up.
+         *
+         * @return whether this is the first result
+         */
+        public boolean end(SendResult result) {
+            if (mResult != null) {
+                return false;
+            }
+            mResult = requireNonNull(result);
+            return true;
+        }
+
+        /** Returns whether the attempt has ended. */
+        public boolean ended() {
+            return mResult != null;
+        }
+
+        private boolean mayHaveRun() {
+            return mResult == null || !mResult.provesNotRun();
+        }
+
+        private boolean unreachable() {
+            return mResult == SendResult.UNREACHABLE;
+        }
+
+        @Override
+        public String toString() {
+            return mServerId + ":" + mResult;
+        }
     }
 
-    /** Records that the last attempt did not reach a server. */
-    public void recordNotSent() {
-        mMayHaveRun--;
-        mAttempts--;
-        mUnreachable++;
+    /**
+     * Records that an attempt is sent.
+     *
+     * @throws IllegalStateException if the request was refused as not run
+     */
+    public Attempt start(String serverId) {
+        if (mRefused) {
+            throw new IllegalStateException("the request was refused as not run");
+        }
+        Attempt attempt = new Attempt(serverId);
+        mAttempts.add(attempt);
+        return attempt;
     }
 
     /** Returns whether any attempt may have run at a server. */
     public boolean mayHaveRun() {
-        return mMayHaveRun > 0;
+        return mAttempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
+    /**
+     * Returns the proof that the request has not run, or null if an attempt may have run. No
+     * attempt can be started after a proof was returned.
+     */
+    public @Nullable NotRunProof refuse() {
+        if (mayHaveRun()) {
+            return null;
+        }
+        mRefused = true;
+        return mAttempts.isEmpty()
+                ? NotRunProof.ofUnsentRequest()
+                : NotRunProof.ofAttempts(
+                        mAttempts.stream().map(Attempt::toString).collect(Collectors.joining(" ")));
     }
 
     /** Returns whether the route allows another attempt. */
     public boolean hasAttemptsLeft() {
-        return mAttempts < mRoute.maxAttempts();
+        return mAttempts.size() - unreachable() < mRoute.maxAttempts();
+    }
+
+    private long unreachable() {
+        return mAttempts.stream().filter(Attempt::unreachable).count();
     }
 
     /** Returns whether the request may be hedged, that is sent while an earlier attempt is open. */
@@ -70,7 +133,7 @@
         if (remainingNanos <= 0 || !hasAttemptsLeft()) {
             return false;
         }
-        if (last == SendResult.UNREACHABLE && mUnreachable >= MAX_UNREACHABLE) {
+        if (last == SendResult.UNREACHABLE && unreachable() >= MAX_UNREACHABLE) {
             return false;
         }
         return !mayHaveRun() || mRoute.kind().retryable();
--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -167,7 +167,7 @@
                 mEjected = false;
                 mEjections = 0;
             }
-            case FAILED, LOST -> recordFailure(1, nowNanos);
+            case FAILED, UNPROVEN_REFUSAL, LOST -> recordFailure(1, nowNanos);
             case TIMED_OUT -> {
                 mSlowness = Math.min(MAX_SLOWNESS, mSlowness * 1.3);
                 recordFailure(1, nowNanos);
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -1,5 +1,7 @@
 package org.redwingladder.entry;
 
+import static java.util.Objects.requireNonNull;
+
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.util.ArrayList;
@@ -19,6 +21,7 @@
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.BalancerDecision;
 import org.redwingladder.steering.LoadBalancer;
+import org.redwingladder.steering.NotRunProof;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.SendResult;
 import org.redwingladder.steering.TriedServers;
@@ -50,6 +53,9 @@
     /** Responses up to this size are buffered and validated before the first byte is forwarded. */
     private static final int MAX_BUFFERED_BYTES = 4 << 20;
 
+    /** The clients of a host that stops switch to others within this time. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 250;
+
     private static final long MIN_HEDGE_DELAY_NANOS = 20_000_000L;
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -96,7 +102,10 @@
             }
             case BalancerDecision.Refuse refuse -> {
                 mLog.refused(refuse);
-                refuse(refuse.reason().name(), refuse.retryAfterMillis());
+                refuse(
+                        requireNonNull(mHistory.refuse()),
+                        refuse.reason().name(),
+                        refuse.retryAfterMillis());
             }
         }
     }
@@ -112,7 +121,13 @@
     /** Fails the request because the process stops. */
     void abort() {
         if (!mDone) {
-            fail(mHistory.mayHaveRun() ? 504 : 503, "the host stops");
+            NotRunProof proof = mHistory.refuse();
+            if (proof == null) {
+                fail(504, "the host stops");
+            } else {
+                mLog.refused("STOPPING", proof);
+                refuse(proof, "STOPPING", STOPPING_RETRY_AFTER_MILLIS);
+            }
         }
     }
 
@@ -180,24 +195,25 @@
     }
 
     private void failAfter(SendResult result) {
-        if (!mHistory.mayHaveRun()) {
-            mLog.refused(result.name());
-            refuse(result.name(), (long) mHandler.router().times().medianMillis(mService, 200));
+        NotRunProof proof = mHistory.refuse();
+        if (proof != null) {
+            mLog.refused(result.name(), proof);
+            refuse(
+                    proof,
+                    result.name(),
+                    (long) mHandler.router().times().medianMillis(mService, 200));
         } else if (result == SendResult.TIMED_OUT) {
             fail(504, "no answer in time");
         } else {
-            fail(502, "the answer was lost: " + result);
+            fail(502, "no usable answer: " + result);
         }
     }
 
-    private void refuse(String reason, long retryAfterMillis) {
+    private void refuse(NotRunProof proof, String reason, long retryAfterMillis) {
         finish();
         // Jitter keeps clients that were refused together from retrying together.
         double jitter = 0.75 + 0.75 * ThreadLocalRandom.current().nextDouble();
-        mHandler.wire()
-                .writeRetryAfter(
-                        mExchange.getResponseHeaders(), (long) (retryAfterMillis * jitter));
-        mHandler.respond(mExchange, 503, "not run: " + reason + "\n");
+        mHandler.refuse(mExchange, proof, reason, (long) (retryAfterMillis * jitter));
     }
 
     private void fail(int status, String reason) {
@@ -223,13 +239,14 @@
         private final BalancerDecision.Send mPlacement;
         private final Backend mBackend;
         private final long mSentNanos = System.nanoTime();
+        private final AttemptTracker.Attempt mState;
         private @Nullable Call mCall;
-        private boolean mEnded;
         private double mLoad;
 
         Attempt(BalancerDecision.Send placement) {
             mPlacement = placement;
             mBackend = placement.server();
+            mState = mHistory.start(mBackend.registration().id());
         }
 
         void send() {
@@ -259,10 +276,9 @@
             if (id != null) {
                 request.requestId(mHandler.wire().requestIdHeader(), id);
             }
-            mHistory.recordSent();
             Call call = mHandler.httpClient().send(request, this);
             mCall = call;
-            if (mEnded && mDone) {
+            if (mState.ended() && mDone) {
                 call.cancel();
             }
         }
@@ -275,10 +291,9 @@
         }
 
         private boolean end(SendResult result) {
-            if (mEnded) {
+            if (!mState.end(result)) {
                 return false;
             }
-            mEnded = true;
             mPendingAttempts.remove(this);
             boolean ejected = mBackend.ejected();
             int ejections = mBackend.ejections();
@@ -326,14 +341,8 @@
             if (server.statesRateLimit()) {
                 mHandler.router().recordRateLimit(mBackend, server.limit(), mSentNanos);
             }
-            if (server.misdirected() || server.notRun()) {
-                mHistory.recordRejected();
-                return server.misdirected() ? SendResult.MISDIRECTED : SendResult.FULL;
-            }
-            if (!server.processed()) {
-                return SendResult.LOST;
-            }
-            return status >= 500 ? SendResult.FAILED : SendResult.ANSWERED;
+            return SendResult.ofResponse(
+                    status, server.notRun(), server.misdirected(), server.processed());
         }
 
         private void forward(BufferedResponse response) {
@@ -348,7 +357,7 @@
         @Override
         public void streamed(StreamedResponse response) {
             SendResult result = classify(response.status(), response.headers());
-            if (mDone || mEnded || result != SendResult.ANSWERED) {
+            if (mDone || mState.ended() || result != SendResult.ANSWERED) {
                 response.discard(new Transfer());
                 if (end(result)) {
                     retryOrFail(result);
@@ -365,9 +374,7 @@
         @Override
         public void failed(CallException cause) {
             SendResult result = RequestRouter.resultOf(cause);
-            if (cause.neverSent()) {
-                mHistory.recordNotSent();
-            } else if (cause instanceof ResponseLostException lost) {
+            if (cause instanceof ResponseLostException lost) {
                 mHandler.router().recordLostResponse(mService, lost, mSentNanos);
             }
             if (end(result)) {
--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -15,8 +15,10 @@
 import org.redwingladder.http.BufferedResponse;
 import org.redwingladder.http.StreamedResponse;
 import org.redwingladder.request.ClientDisconnectDetector;
+import org.redwingladder.steering.NotRunProof;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
+import org.redwingladder.steering.SendResult;
 
 /**
  * Receives client requests, matches them to routes and starts their forwarding; contains what all
@@ -36,6 +38,7 @@
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
     private final RequestRateMeter mRequestRates;
+    private final RefusalGuard mRefusalGuard;
     private final Set<ProxiedRequest> mInFlight = new HashSet<>();
     private BooleanSupplier mStopping = () -> false;
     private BooleanSupplier mRefusing = () -> false;
@@ -69,6 +72,7 @@
         mLog = log;
         mMetrics = metrics;
         mRequestRates = requestRates;
+        mRefusalGuard = new RefusalGuard(log, metrics);
     }
 
     /**
@@ -138,7 +142,7 @@
 
     private void handle(HttpServerExchange exchange, long now) {
         mMetrics.count("request.received");
-        exchange.addResponseCommitListener(this::logStatus);
+        mRefusalGuard.install(exchange);
         if (mStopping.getAsBoolean()) {
             exchange.setPersistent(false);
         }
@@ -174,13 +178,6 @@
         receiveBody(exchange, request);
     }
 
-    /** Counts the statuses that promise that a request has not run, also those of the library. */
-    private void logStatus(HttpServerExchange exchange) {
-        if (Responses.promisesNotRun(exchange.getStatusCode())) {
-            mMetrics.count("response.not-run." + exchange.getStatusCode());
-        }
-    }
-
     private String notReadyReason(@Nullable RouteTable routes) {
         if (routes == null) {
             return "no settings yet";
@@ -242,10 +239,9 @@
         mLog.event("request", "refused")
                 .with("id", client.requestId())
                 .with("reason", reason)
-                .with("proof", "host:UNSENT")
+                .with("proof", NotRunProof.ofUnsentRequest())
                 .write();
-        mWire.writeRetryAfter(exchange.getResponseHeaders(), NOT_READY_RETRY_AFTER_MILLIS);
-        respond(exchange, 503, "not run: " + reason + "\n");
+        refuse(exchange, NotRunProof.ofUnsentRequest(), reason, NOT_READY_RETRY_AFTER_MILLIS);
     }
 
     private void deny(
@@ -262,8 +258,27 @@
         respond(exchange, status, reason + "\n");
     }
 
-    /** Sends a text response of this host, unless a response has already started. */
+    /** Tells the client that its request has not run and when to retry. */
+    void refuse(
+            HttpServerExchange exchange, NotRunProof proof, String reason, long retryAfterMillis) {
+        if (exchange.isResponseStarted()) {
+            return;
+        }
+        RefusalGuard.refuse(exchange, proof);
+        mWire.writeRetryAfter(exchange.getResponseHeaders(), retryAfterMillis);
+        Responses.text(exchange, exchange.getStatusCode(), "not run: " + reason + "\n");
+    }
+
+    /**
+     * Sends a text response of this host, unless a response has already started.
+     *
+     * @throws IllegalArgumentException if the status promises that the request has not run; see
+     *     {@link #refuse}
+     */
     void respond(HttpServerExchange exchange, int status, String text) {
+        if (SendResult.promisesNotRun(status)) {
+            throw new IllegalArgumentException("status " + status + " needs a proof");
+        }
         if (exchange.isResponseStarted()) {
             return;
         }
--- a/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
@@ -2,6 +2,7 @@
 
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.BalancerDecision;
+import org.redwingladder.steering.NotRunProof;
 import org.redwingladder.steering.SendResult;
 
 /** Writes the log events and updates the metrics of one client request. */
@@ -11,7 +12,6 @@
     private final ProxyHandler mHandler;
     private final ProxyHandler.RoutedRequest mRequest;
     private final StringBuilder mAttempts = new StringBuilder(0);
-    private final StringBuilder mProofs = new StringBuilder(0);
 
     RequestLog(ProxyHandler handler, ProxyHandler.RoutedRequest request) {
         mHandler = handler;
@@ -51,10 +51,6 @@
                 .append(elapsedMillis())
                 .append(':')
                 .append(result);
-        mProofs.append(mProofs.isEmpty() ? "" : " ")
-                .append(server.registration().id())
-                .append(':')
-                .append(result);
     }
 
     /** Logs that the result of an attempt ejected its server or ended the ejection. */
@@ -97,17 +93,17 @@
                 .with("servers", refuse.servers())
                 .with("limited", refuse.limitedServers())
                 .with("retryAfter", refuse.retryAfterMillis())
-                .with("proof", "host:UNSENT")
+                .with("proof", NotRunProof.ofUnsentRequest())
                 .write();
     }
 
-    /** Logs a refusal of a request that was sent but that certainly no server ran. */
-    void refused(String reason) {
+    /** Logs a refusal of a request that certainly no server ran. */
+    void refused(String reason, NotRunProof proof) {
         mHandler.metrics().count("request.refused." + reason);
         line("refused")
                 .with("reason", reason)
                 .with("sends", mAttempts)
-                .with("proof", mProofs)
+                .with("proof", proof)
                 .write();
     }
 
@@ -132,15 +128,11 @@
         long millis = elapsedMillis();
         mHandler.metrics().recordResponseTime(mRequest.service(), millis);
         boolean late = millis > mRequest.route().objectiveMillis();
-        boolean promise = Responses.promisesNotRun(status);
-        if (!mHandler.sampleResponse() && !late && !promise) {
+        if (!mHandler.sampleResponse() && !late) {
             return;
         }
-        EventLog.Line line = line("answered");
-        if (promise) {
-            line.with("proof", "none");
-        }
-        line.with("status", status)
+        line("answered")
+                .with("status", status)
                 .with("server", placement.server().registration().id())
                 .with("objective", mRequest.route().objectiveMillis())
                 .with("sent", millisSinceArrival(sentNanos))
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -172,6 +172,8 @@
         return switch (result) {
             case "ANSWERED" -> "answered after " + millis + " ms";
             case "FAILED" -> "answered with a failure of its own after " + millis + " ms";
+            case "UNPROVEN_REFUSAL" ->
+                    "refused it after " + millis + " ms without saying that it did not run it";
             case "FULL" -> "turned it away, its queue is full";
             case "MISDIRECTED" -> "is another server than the one registered there";
             case "UNREACHABLE" -> "could not be reached";
@@ -186,7 +188,7 @@
         Matcher matcher = SEND.matcher(line.text("sends"));
         while (matcher.find()) {
             switch (matcher.group(4)) {
-                case "LOST", "TIMED_OUT", "CANCELLED", "FAILED" -> {
+                case "LOST", "TIMED_OUT", "CANCELLED", "FAILED", "UNPROVEN_REFUSAL" -> {
                     return "; it may have run";
                 }
                 default -> {}
