Handle large refusals and failures like small ones

Cause: a response that is too large for the buffer and is not forwarded was discarded with the handler of a transfer. Discarding fails the transfer, which ended the attempt as lost and the request without a response, before the refusal could be retried or answered.

A discarded response now has a handler of its own, after the attempt has ended with its result. Streamed responses go the same way as buffered ones: refusals are retried or answered as not run, failures that no other server can improve are streamed to the client. The other attempts of a hedged request are cancelled when a response begins to stream, so that only one can.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -225,13 +225,17 @@
     /** Marks the request as done and cancels the attempts in flight. */
     private void finish() {
         mDone = true;
+        cancelPendingAttempts();
+        mHandler.finished(this);
+    }
+
+    private void cancelPendingAttempts() {
         if (mHedgeTimer != null) {
             mHedgeTimer.remove();
         }
         for (Attempt attempt : new ArrayList<>(mPendingAttempts)) {
             attempt.cancel();
         }
-        mHandler.finished(this);
     }
 
     /** One attempt at one backend server. */
@@ -318,14 +322,18 @@
             }
             if (result == SendResult.ANSWERED) {
                 mHandler.router().recordResponseTime(mRoute, mService, mPlacement, mSentNanos);
-                forward(response);
-            } else if (result == SendResult.FAILED && !mayImprove()) {
+            }
+            if (isForwarded(result)) {
                 forward(response);
             } else {
                 retryOrFail(result);
             }
         }
 
+        private boolean isForwarded(SendResult result) {
+            return result == SendResult.ANSWERED || (result == SendResult.FAILED && !mayImprove());
+        }
+
         /** Returns whether another attempt may get a better response than the server's failure. */
         private boolean mayImprove() {
             return !mPendingAttempts.isEmpty()
@@ -357,17 +365,18 @@
         @Override
         public void streamed(StreamedResponse response) {
             SendResult result = classify(response.status(), response.headers());
-            if (mDone || mState.ended() || result != SendResult.ANSWERED) {
-                response.discard(new Transfer());
-                if (end(result)) {
+            // finish() must not cancel the attempt whose response is streamed.
+            mPendingAttempts.remove(this);
+            if (mDone || mState.ended() || !isForwarded(result)) {
+                boolean first = end(result);
+                response.discard(new Discarded());
+                if (first) {
                     retryOrFail(result);
                 }
                 return;
             }
-            // The response is streamed to the client from here on: no other attempt is needed, and
-            // finish() must not cancel this one.
-            mPendingAttempts.remove(this);
-            mHandler.forwardResponse(mExchange, response, new Transfer());
+            cancelPendingAttempts();
+            mHandler.forwardResponse(mExchange, response, new Transfer(result));
             mLog.answered(mPlacement, mLoad, mSentNanos, response.status());
         }
 
@@ -382,10 +391,27 @@
             }
         }
 
+        /** The response is not used; the request goes on without it. */
+        private static final class Discarded implements StreamedResponse.TransferHandler {
+            @Override
+            public void transferred(long bytes) {
+                throw new IllegalStateException("a discarded response was transferred");
+            }
+
+            @Override
+            public void failed(CallException cause) {}
+        }
+
         private final class Transfer implements StreamedResponse.TransferHandler {
+            private final SendResult mResult;
+
+            Transfer(SendResult result) {
+                mResult = result;
+            }
+
             @Override
             public void transferred(long bytes) {
-                end(SendResult.ANSWERED);
+                end(mResult);
                 finishOnce();
             }
 
