--- a/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
+++ b/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
@@ -86,6 +86,13 @@
         }
     }
 
+    /** Resets a connection. */
+    public void reset(int connection) throws IOException {
+        Socket socket = mSocketsByNumber.get(connection);
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
     private void accept() {
         try {
             while (true) {
