--- a/core/src/main/java/org/redwingladder/steering/HostState.java
+++ b/core/src/main/java/org/redwingladder/steering/HostState.java
@@ -1,5 +1,7 @@
 package org.redwingladder.steering;
 
+import static java.util.Objects.requireNonNull;
+
 import java.util.Map;
 
 /**
@@ -29,6 +31,13 @@
         boolean storeReachable,
         double capacity,
         Map<String, Double> demand) {
+    public HostState {
+        requireNonNull(name);
+        requireNonNull(zone);
+        requireNonNull(peerAddress);
+        requireNonNull(clientAddress);
+        requireNonNull(demand);
+    }
 
     /** Returns the total request rate of all services. */
     double requestsPerSecond() {
--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -175,6 +175,19 @@
     }
 
     private void runRound() {
+        try {
+            gossip();
+        } finally {
+            long jitter = ThreadLocalRandom.current().nextLong(GOSSIP_PERIOD_MILLIS / 4);
+            mTimer =
+                    mThread.executeAfter(
+                            this::runRound,
+                            GOSSIP_PERIOD_MILLIS * 7 / 8 + jitter,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void gossip() {
         long now = System.nanoTime();
         refreshSelf(now);
         mMembers.removeExpired(now);
@@ -192,12 +205,6 @@
                 gossipWith(Addresses.format(mSeeds.get(random.nextInt(mSeeds.size()))));
             }
         }
-        long jitter = random.nextLong(GOSSIP_PERIOD_MILLIS / 4);
-        mTimer =
-                mThread.executeAfter(
-                        this::runRound,
-                        GOSSIP_PERIOD_MILLIS * 7 / 8 + jitter,
-                        TimeUnit.MILLISECONDS);
     }
 
     private void refreshSelf(long now) {
@@ -358,9 +365,9 @@
                 Responses.binary(
                         exchange, PeerCodec.encode(new PeerMessages.SnapshotResponse(snapshots)));
             }
-        } catch (JsonException e) {
-            mLog.event("peers", "malformed").with("cause", e.getMessage()).write();
-            Responses.text(exchange, 400, "malformed message: " + e.getMessage() + "\n");
+        } catch (JsonException | RuntimeException e) {
+            mLog.event("peers", "malformed").with("cause", e).write();
+            Responses.text(exchange, 400, "malformed message: " + e + "\n");
         }
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/PeerClient.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerClient.java
@@ -1,6 +1,7 @@
 package org.redwingladder.entry;
 
 import io.undertow.util.Methods;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -49,9 +50,16 @@
 
     /** Sends a message; the reader is called on the I/O thread. */
     void call(String address, String path, byte[] message, BodyReader reader) {
+        InetSocketAddress target;
+        try {
+            target = Addresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            callEnded(address, null, e, reader);
+            return;
+        }
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS);
         CallRequest request =
-                CallRequest.of(Methods.POST, Addresses.parse(address), path, deadline)
+                CallRequest.of(Methods.POST, target, path, deadline)
                         .body(message)
                         .maxBufferedBytes(MAX_MESSAGE_BYTES);
         mHttpClient
@@ -95,8 +103,8 @@
         try {
             reader.read(response.body());
             return null;
-        } catch (JsonException e) {
-            return e.getMessage();
+        } catch (JsonException | RuntimeException e) {
+            return "malformed response: " + e;
         }
     }
 }
--- a/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
@@ -10,15 +10,19 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AsyncHttpClient;
 import org.redwingladder.http.ScriptedHttpServer;
 import org.redwingladder.steering.GossipMembership;
+import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.ServerRegistration;
 
 class GossipServiceTest {
@@ -90,19 +94,21 @@
                         Addresses.format(sender.address()),
                         new PeerMessages.TableChanges(
                                 StoreTable.SERVERS, after, after + 2, 0, List.of()));
+        return send("/peer/changes", push);
+    }
+
+    private int send(String path, Object message) throws Exception {
         InetSocketAddress address =
                 (InetSocketAddress) mListener.getListenerInfo().get(0).getAddress();
         try (HttpClient client = HttpClient.newHttpClient()) {
             return client.send(
                             HttpRequest.newBuilder(
                                             URI.create(
-                                                    "http://127.0.0.1:"
-                                                            + address.getPort()
-                                                            + "/peer/changes"))
+                                                    "http://127.0.0.1:" + address.getPort() + path))
                                     .version(HttpClient.Version.HTTP_1_1)
                                     .POST(
                                             HttpRequest.BodyPublishers.ofByteArray(
-                                                    PeerCodec.encode(push)))
+                                                    PeerCodec.encode(message)))
                                     .build(),
                             HttpResponse.BodyHandlers.discarding())
                     .statusCode();
@@ -125,6 +131,37 @@
         return false;
     }
 
+    @Nested
+    class OddMessages {
+        private PeerMessages.GossipMessage message(String peerAddress) {
+            HostState host =
+                    new HostState(
+                            "odd", 1, 1, "z1", peerAddress, "10.0.0.1:80", true, true, 1, Map.of());
+            return new PeerMessages.GossipMessage("odd", List.of(host), 99, 99, 0, null);
+        }
+
+        /** A snapshot request that could not be sent was never seen to end. */
+        @ParameterizedTest
+        @ValueSource(strings = {"nowhere", "10.0.0.1:65536", "999.0.0.1:80"})
+        void withAMalformedAddressDoNotEndTheFetchingOfSnapshots(String address) throws Exception {
+            send("/peer/exchange", message(address));
+            assertThat(push(5)).isEqualTo(200);
+            assertThat(received("/peer/copy")).isTrue();
+        }
+
+        @Test
+        void withMissingFieldsAreRejected() throws Exception {
+            assertThat(send("/peer/exchange", Map.of("from", "odd"))).isEqualTo(400);
+            assertThat(
+                            send(
+                                    "/peer/exchange",
+                                    Map.of("from", "odd", "hosts", List.of(Map.of("name", "x")))))
+                    .isEqualTo(400);
+            assertThat(send("/peer/limits", Map.of())).isEqualTo(400);
+            assertThat(send("/peer/changes", Map.of())).isEqualTo(400);
+        }
+    }
+
     @Nested
     class PushedChanges {
         /**
