Follow the table of servers whatever one of its entries contains

Whatever a decoder throws now costs one log line and that row. A listener that fails makes the watcher read the whole table again.

--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -229,14 +229,10 @@
             if (value == null) {
                 continue;
             }
-            try {
-                switch (mDecoder.decodeControlRow(row.key(), value)) {
-                    case RowDecoder.ControlRow.Settings read -> applySettings(read.settings());
-                    case RowDecoder.ControlRow.Evacuation read -> evacuated.add(read.zone());
-                    case RowDecoder.ControlRow.Other other -> {}
-                }
-            } catch (RowDecoder.MalformedRowException e) {
-                logMalformed(row, e);
+            switch (decodeControlRow(row, value)) {
+                case RowDecoder.ControlRow.Settings read -> applySettings(read.settings());
+                case RowDecoder.ControlRow.Evacuation read -> evacuated.add(read.zone());
+                case RowDecoder.ControlRow.Other other -> {}
             }
         }
         if (!evacuated.equals(mEvacuated)) {
@@ -246,6 +242,15 @@
         }
     }
 
+    private RowDecoder.ControlRow decodeControlRow(StoreRow row, byte[] value) {
+        try {
+            return mDecoder.decodeControlRow(row.key(), value);
+        } catch (RowDecoder.MalformedRowException | RuntimeException | StackOverflowError e) {
+            logMalformed(row, e);
+            return new RowDecoder.ControlRow.Other();
+        }
+    }
+
     private void applySettings(SteeringSettings settings) {
         SteeringSettings known = mSettings;
         if (known != null && settings.version() <= known.version()) {
@@ -259,13 +264,17 @@
         mListener.settingsChanged(settings);
     }
 
-    private void logMalformed(StoreRow row, RowDecoder.MalformedRowException cause) {
+    private void logMalformed(StoreRow row, Throwable cause) {
         Long logged = mLoggedVersions.put(row.key(), row.version());
         if (logged == null || logged != row.version()) {
             mLog.event("state", "malformed-row")
                     .with("key", row.key())
                     .with("version", row.version())
-                    .with("cause", cause.getMessage())
+                    .with(
+                            "cause",
+                            cause instanceof RowDecoder.MalformedRowException
+                                    ? cause.getMessage()
+                                    : cause)
                     .write();
         }
     }
@@ -350,7 +359,7 @@
         }
         try {
             return mDecoder.decodeServer(row.key(), value, now);
-        } catch (RowDecoder.MalformedRowException e) {
+        } catch (RowDecoder.MalformedRowException | RuntimeException | StackOverflowError e) {
             logMalformed(row, e);
             return null;
         }
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -208,13 +208,25 @@
                 return;
             }
             recordSuccess();
-            if (!mSnapshot) {
-                mListener.apply(mTable, read.rows(), read.position());
-            } else if (!mListener.replace(mTable, read.rows(), read.position())) {
-                mLog.event("store", "stale-read")
+            try {
+                if (!mSnapshot) {
+                    mListener.apply(mTable, read.rows(), read.position());
+                } else if (!mListener.replace(mTable, read.rows(), read.position())) {
+                    mLog.event("store", "stale-read")
+                            .with("table", mTable)
+                            .with("position", read.position())
+                            .write();
+                    scheduleRetry();
+                    return;
+                }
+            } catch (RuntimeException | StackOverflowError e) {
+                // The watch must go on: later changes may be removals of servers.
+                mLog.event("store", "delivery-failed")
                         .with("table", mTable)
                         .with("position", read.position())
+                        .with("cause", e)
                         .write();
+                mBackOffMillis = MAX_BACK_OFF_MILLIS;
                 scheduleRetry();
                 return;
             }
--- a/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
@@ -138,4 +138,27 @@
                             });
         }
     }
+
+    @Nested
+    class OddRows {
+        /** One entry of another writer must not hide the changes of the others. */
+        @Test
+        void areIgnoredWhateverTheDecoderThrows() throws Exception {
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS,
+                                    13,
+                                    TestRowDecoder.removed("s1", 11),
+                                    TestRowDecoder.throwing("odd1", 12),
+                                    TestRowDecoder.overflowing("odd2", 13)));
+            awaitServers("s2");
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS, 14, TestRowDecoder.ready("s3", 14)));
+            awaitServers("s2", "s3");
+        }
+    }
 }
--- a/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -13,21 +14,38 @@
 class TableWatcherTest {
     private final ScriptedStoreClient mStore = new ScriptedStoreClient();
     private final List<Long> mPositions = new ArrayList<>();
+    private @Nullable Error mListenerError;
+    private @Nullable RuntimeException mListenerException;
     private TestThread mThread;
     private TableWatcher mWatcher;
 
     private final class PositionRecorder implements TableWatcher.Listener {
         @Override
         public boolean replace(StoreTable table, List<StoreRow> rows, long position) {
+            failOnce();
             mPositions.add(position);
             return true;
         }
 
         @Override
         public void apply(StoreTable table, List<StoreRow> rows, long position) {
+            failOnce();
             mPositions.add(position);
         }
 
+        private void failOnce() {
+            RuntimeException exception = mListenerException;
+            mListenerException = null;
+            if (exception != null) {
+                throw exception;
+            }
+            Error error = mListenerError;
+            mListenerError = null;
+            if (error != null) {
+                throw error;
+            }
+        }
+
         @Override
         public void callSucceeded(StoreTable table) {}
 
@@ -99,4 +117,44 @@
             assertThat(mWatcher.lastFailed()).isFalse();
         }
     }
+
+    @Nested
+    class Listeners {
+        private void completePollThatFails() throws Exception {
+            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.await(TableWatcherTest.this::pollPending);
+            mThread.run(() -> mStore.completePoll(StoreTable.SERVERS, 11));
+        }
+
+        private void assertReadsTheTableAgain() throws Exception {
+            mThread.await(() -> mStore.readPending(StoreTable.SERVERS));
+            mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, 12));
+            mThread.await(TableWatcherTest.this::pollPending);
+            assertThat(mPositions).containsExactly(10L, 12L);
+        }
+
+        /** The host would not notice later changes, such as a server that drains. */
+        @Test
+        void thatThrowDoNotEndTheWatch() throws Exception {
+            mListenerException = new IllegalStateException("odd row");
+            completePollThatFails();
+            assertReadsTheTableAgain();
+        }
+
+        @Test
+        void thatOverflowTheStackDoNotEndTheWatch() throws Exception {
+            mListenerError = new StackOverflowError();
+            completePollThatFails();
+            assertReadsTheTableAgain();
+        }
+
+        @Test
+        void thatThrowAtAWholeReadingDoNotEndTheWatch() throws Exception {
+            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(mWatcher::readTable);
+            mListenerException = new IllegalStateException("odd row");
+            mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, 11));
+            assertReadsTheTableAgain();
+        }
+    }
 }
