Reject responses with several request ids

A refusal that names two requests was taken by its first id (RefusedRequestTest.withTwoRequestIdsAreNotForwardedAsNotRun: the second part was not run on the code before). It may be that of the other request, so that it proves nothing; the call now fails as with another id.

--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -6,6 +6,7 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
@@ -213,9 +214,10 @@
     private @Nullable String protocolViolation(ClientResponse response) {
         HeaderMap headers = response.getResponseHeaders();
         String expected = mRequest.requestId();
-        if (expected != null && !expected.equals(headers.getFirst(mRequest.requestIdHeader()))) {
-            return "response carries another request id: "
-                    + headers.getFirst(mRequest.requestIdHeader());
+        HeaderValues ids = headers.get(mRequest.requestIdHeader());
+        if (expected != null
+                && (ids == null || ids.size() != 1 || !expected.equals(ids.getFirst()))) {
+            return "response carries another request id: " + ids;
         }
         if (mUnsentBody != null) {
             return "response arrived before the request was sent completely";
