--- a/core/src/main/java/org/redwingladder/steering/SendResult.java
+++ b/core/src/main/java/org/redwingladder/steering/SendResult.java
@@ -26,6 +26,7 @@
     /** This host cancelled the request, for example because the client disconnected. */
     CANCELLED;
 
+    private static final int MIN_REDIRECTION = 300;
     private static final int MIN_SERVER_ERROR = 500;
 
     /** The statuses that promise a client that its request has not run and never will. */
@@ -46,7 +47,7 @@
     public static SendResult ofResponse(
             int status, boolean notRun, boolean misdirected, boolean processed) {
         if (notRun || misdirected) {
-            if (processed || status < 300) {
+            if (processed || status < MIN_REDIRECTION) {
                 return LOST;
             }
             return misdirected ? MISDIRECTED : FULL;
--- a/daemon/src/test/java/org/redwingladder/entry/RefusalGuardTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/RefusalGuardTest.java
@@ -2,13 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -25,28 +23,17 @@
 class RefusalGuardTest {
     private final RefusalGuard mGuard = new RefusalGuard(EventLog.of("h"), new EntryMetrics());
     private TestThread mThread;
-    private HttpListener mListener;
-    private InetSocketAddress mAddress;
+    private Undertow mListener;
     private HttpHandler mHandler;
 
     @BeforeEach
     void start() throws Exception {
         mThread = new TestThread();
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            mAddress = new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
-        }
-        mListener =
-                new HttpListener(
-                        "clients",
-                        mAddress,
-                        mThread.thread().getWorker(),
-                        new DefaultByteBufferPool(true, 16_384),
-                        this::handle);
-        mListener.start(cause -> {});
+        mListener = mThread.listen(this::handle);
     }
 
     @AfterEach
-    void stop() throws Exception {
+    void stop() {
         mListener.stop();
         mThread.close();
     }
@@ -58,10 +45,12 @@
 
     private int status(HttpHandler handler) throws Exception {
         mHandler = handler;
+        InetSocketAddress address =
+                (InetSocketAddress) mListener.getListenerInfo().get(0).getAddress();
         try (HttpClient client = HttpClient.newHttpClient()) {
             return client.send(
                             HttpRequest.newBuilder(
-                                            URI.create("http://127.0.0.1:" + mAddress.getPort()))
+                                            URI.create("http://127.0.0.1:" + address.getPort()))
                                     .build(),
                             HttpResponse.BodyHandlers.ofString())
                     .statusCode();
