--- a/core/src/main/java/org/redwingladder/steering/HostState.java
+++ b/core/src/main/java/org/redwingladder/steering/HostState.java
@@ -31,6 +31,7 @@
         boolean storeReachable,
         double capacity,
         Map<String, Double> demand) {
+    /** Rejects a state with missing fields, as a malformed message may have. */
     public HostState {
         requireNonNull(name);
         requireNonNull(zone);
