--- a/http/src/test/java/org/redwingladder/http/TruncatedResponseTest.java
+++ b/http/src/test/java/org/redwingladder/http/TruncatedResponseTest.java
@@ -17,19 +17,18 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 class TruncatedResponseTest {
+    private static final String ID = "Redwing-Request-Id: %s\r\n";
+
     /** A typical response; %s is the request's id. */
     private enum Whole {
-        WITH_LENGTH(
-                "HTTP/1.1 200 OK\r\nRedwing-Request-Id: %s\r\nContent-Length: 11\r\n\r\nhello world"),
-        LENGTH_FIRST(
-                "HTTP/1.1 200 OK\r\nContent-Length: 11\r\nRedwing-Request-Id: %s\r\n\r\nhello world"),
+        WITH_LENGTH("HTTP/1.1 200 OK\r\n" + ID + "Content-Length: 11\r\n\r\nhello world"),
+        LENGTH_FIRST("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n" + ID + "\r\nhello world"),
         CHUNKED(
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRedwing-Request-Id: %s\r\n\r\n"
-                        + "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"),
-        REFUSAL(
-                "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRedwing-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"),
-        CLOSE_DELIMITED(
-                "HTTP/1.1 200 OK\r\nRedwing-Request-Id: %s\r\nServer: s\r\n\r\nhello world"),
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                        + ID
+                        + "\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"),
+        REFUSAL("HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + ID + "Content-Length: 0\r\n\r\n"),
+        CLOSE_DELIMITED("HTTP/1.1 200 OK\r\n" + ID + "Server: s\r\n\r\nhello world"),
         /** Is rejected, as its lines have no carriage return. */
         BARE_LINE_FEEDS("HTTP/1.1 200 OK\nRedwing-Request-Id: %s\nServer: s\n\nhello world");
 
