--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -9,11 +9,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.redwingladder.http.Addresses;
 import org.redwingladder.http.BufferedResponse;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
-import org.redwingladder.http.CallRequest;
 import org.redwingladder.http.ResponseHandler;
 import org.redwingladder.http.ResponseLostException;
 import org.redwingladder.http.StreamedResponse;
@@ -35,12 +33,6 @@
  * attempt takes unusually long.
  */
 final class ProxiedRequest {
-    /** A connection within a region opens in milliseconds, across regions within 100 ms. */
-    private static final long CONNECT_TIMEOUT_NANOS = 300_000_000L;
-
-    /** Network time of a response that was ready at the deadline. */
-    private static final long RESPONSE_SLACK_NANOS = 80_000_000L;
-
     /** An attempt that takes this many times its expected time is likely to be a straggler. */
     private static final double HEDGE_DELAY_FACTOR = 2.2;
 
@@ -50,9 +42,6 @@
      */
     private static final double HEDGE_MAX_WAIT_FACTOR = 0.15;
 
-    /** Responses up to this size are buffered and validated before the first byte is forwarded. */
-    private static final int MAX_BUFFERED_BYTES = 4 << 20;
-
     /** The clients of a host that stops switch to others within this time. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 250;
 
@@ -61,11 +50,10 @@
 
     private final ProxyHandler mHandler;
     private final HttpServerExchange mExchange;
-    private final String mPath;
     private final Route mRoute;
     private final String mService;
     private final WireFormat.ClientHeaders mClient;
-    private final byte[] mBody;
+    private final ServerRequestBuilder mRequests;
     private final RequestLog mLog;
     private final long mDeadlineNanos;
     private final TriedServers mTried = new TriedServers();
@@ -82,14 +70,13 @@
             byte[] body) {
         mHandler = handler;
         mExchange = exchange;
-        mPath = request.path();
         mRoute = request.route();
         mService = request.service();
         mClient = request.client();
         mLog = new RequestLog(handler, request);
         mHistory = AttemptTracker.create(mRoute);
         mDeadlineNanos = request.deadlineNanos();
-        mBody = body;
+        mRequests = new ServerRequestBuilder(handler, exchange, request, body);
     }
 
     /** Sends the first attempt or refuses the request. */
@@ -256,31 +243,7 @@
         void send() {
             mLoad = mBackend.expectedLoad(mSentNanos);
             mBackend.recordSent(mSentNanos);
-            CallRequest request =
-                    CallRequest.of(
-                                    mExchange.getRequestMethod(),
-                                    Addresses.parse(mBackend.registration().address()),
-                                    mPath,
-                                    mDeadlineNanos + RESPONSE_SLACK_NANOS)
-                            .connectDeadlineNanos(mSentNanos + CONNECT_TIMEOUT_NANOS)
-                            .allowCloseDelimitedBody()
-                            .maxIdleNanos(mHandler.router().maxIdleNanos(mService))
-                            .maxBufferedBytes(MAX_BUFFERED_BYTES);
-            long left = Math.max(1, (mDeadlineNanos - mSentNanos) / 1_000_000);
-            mHandler.wire()
-                    .writeServerHeaders(
-                            mExchange.getRequestHeaders(),
-                            request.headers(),
-                            mBackend.registration().id(),
-                            left);
-            if (mBody.length > 0 || mExchange.getRequestHeaders().contains("Content-Length")) {
-                request.body(mBody);
-            }
-            String id = mClient.requestId();
-            if (id != null) {
-                request.requestId(mHandler.wire().requestIdHeader(), id);
-            }
-            Call call = mHandler.httpClient().send(request, this);
+            Call call = mHandler.httpClient().send(mRequests.build(mBackend, mSentNanos), this);
             mCall = call;
             if (mState.ended() && mDone) {
                 call.cancel();
