Keep a complete response whose connection ends right behind it

What callers saw: 502 for a request that its server had answered in full, if the server closed the connection right behind the body without having said Connection: close, each time the end arrived together with the body.

Cause: bytes behind a response were noticed by the state of the connection alone. The HTTP library closes it for surplus bytes and for its end alike, so that the end was taken for surplus bytes.

Change: the call fails only if the check of the received bytes found any that belong to no response. The end of a connection says nothing about a response that is complete by its length or its last chunk.

Evidence: InvalidServerResponseTest$CompleteResponse, with a length and with chunks: 2 of 3 cases failed before, at the first of five requests; the large body passed. All pass now, as do the tests of surplus and repeated responses (AsyncHttpClientTest, EndlessResponseTest, RefusedRequestTest, EntryHostTest).

--- a/http/src/main/java/org/redwingladder/http/ResponseReader.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseReader.java
@@ -161,8 +161,8 @@
 
     /**
      * Runs {@code step} unless unexpected bytes follow the response, which then fails the call.
-     * Undertow's client connection closes itself if it has read bytes beyond the end of the
-     * response; it does so in a task that was queued before the one queued here.
+     * Undertow's client reads beyond the end of the response in a task that was queued before the
+     * one queued here. A connection that ends there does not affect the response.
      */
     void afterTrailingDataCheck(Runnable step) {
         if (willClose()) {
@@ -171,7 +171,7 @@
             return;
         }
         try {
-            mConnection.thread().execute(() -> runUnlessClosed(step));
+            mConnection.thread().execute(() -> runUnlessViolated(step));
         } catch (RejectedExecutionException e) {
             // The client is being closed, so it can no longer be checked whether bytes follow.
             mCall.failWith(
@@ -180,12 +180,12 @@
         }
     }
 
-    private void runUnlessClosed(Runnable step) {
-        if (mConnection.isOpen()) {
+    private void runUnlessViolated(Runnable step) {
+        InvalidResponseException violation = mConnection.source().violation();
+        if (violation == null) {
             step.run();
         } else {
-            mCall.failWith(
-                    new InvalidResponseException("unexpected bytes after the end of the response"));
+            mCall.failWith(violation);
         }
     }
 
