Log each invalid response with its server and its violation

Cause: of a lost response and an invalid one the log said the same, so that an operator could not see which server sends bytes that are no response, nor what is wrong with them.

Evidence: RequestExplainTest.isExplainedByInvalidResponse failed before and passes.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -345,6 +345,7 @@
 
         @Override
         public void failed(CallException cause) {
+            mLog.callFailed(mBackend, cause);
             SendResult result = RequestRouter.resultOf(cause);
             if (cause instanceof ResponseLostException lost) {
                 mHandler.router().recordLostResponse(mService, lost, mSentNanos);
@@ -380,6 +381,7 @@
 
             @Override
             public void failed(CallException cause) {
+                mLog.callFailed(mBackend, cause);
                 end(SendResult.LOST);
                 finishOnce();
             }
--- a/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestLog.java
@@ -1,5 +1,7 @@
 package org.redwingladder.entry;
 
+import org.redwingladder.http.CallException;
+import org.redwingladder.http.InvalidResponseException;
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.BalancerDecision;
 import org.redwingladder.steering.NotRunProof;
@@ -77,6 +79,18 @@
         line("client-gone").with("sends", mAttempts).write();
     }
 
+    /** Logs the cause of a failed call if the server sent bytes that are no response. */
+    void callFailed(Backend server, CallException cause) {
+        if (!(cause instanceof InvalidResponseException)) {
+            return;
+        }
+        mHandler.metrics().count("response.invalid");
+        line("invalid-response")
+                .with("server", server.registration().id())
+                .with("violation", cause.getMessage())
+                .write();
+    }
+
     /** Logs a retry or a hedge. */
     void retried(String reason) {
         mHandler.metrics().count("request.repeat." + reason);
