--- a/http/src/test/java/org/redwingladder/http/ReferenceGrammar.java
+++ b/http/src/test/java/org/redwingladder/http/ReferenceGrammar.java
@@ -6,7 +6,7 @@
 import java.util.regex.Pattern;
 
 /** The grammar of responses as regular expressions, independent of {@link ResponseScanner}. */
-final class ReferenceGrammar {
+public final class ReferenceGrammar {
     private static final String TOKEN = "[!#$%&'*+\\-.^_`|~0-9A-Za-z]+";
     private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]";
     private static final Pattern STATUS_LINE =
@@ -32,7 +32,7 @@
     }
 
     /** Returns whether a text is exactly one response to a GET, with any interim ones before it. */
-    static boolean isResponse(String text) {
+    public static boolean isResponse(String text) {
         return new ReferenceGrammar(text).matches();
     }
 
