--- a/systemtest/src/test/java/org/redwingladder/systemtest/ModuleRulesTest.java
+++ b/systemtest/src/test/java/org/redwingladder/systemtest/ModuleRulesTest.java
@@ -235,6 +235,31 @@
                     .check(CLASSES);
         }
 
+        /** Guards against a reader of responses besides the checked one of the HTTP client. */
+        @Test
+        void readsResponsesOnlyThroughItsHttpClient() {
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DAEMON_PACKAGES)
+                    .or()
+                    .resideInAnyPackage(BASE + ".adapter..", BASE + ".tool..")
+                    .and()
+                    .resideOutsideOfPackage(BASE + ".http..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage("io.undertow.client..", "java.net.http..")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveFullyQualifiedName("java.net.Socket")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveFullyQualifiedName("java.net.URLConnection")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .haveFullyQualifiedName("java.nio.channels.SocketChannel")
+                    .check(CLASSES);
+        }
+
         /** Guards against child processes and the use of Undertow's proxy handler. */
         @Test
         void startsNoProcessAndUsesNoUndertowProxy() {
