Refuse a request whose body arrives when a stopping host refuses new ones

A report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end without a response.

What can happen here: a host refuses new requests after 48% of its time to stop, but decided so at the head only. A request whose body came later was forwarded with too little time left, and after the abort at 90% nothing answered it before the process ended.

What cannot: a request without a body, or whose body came before, is refused as not run after 48%, and one that is in flight at 90% is answered with 504 (RequestAtStopTest$RequestInFlightAtTheEnd passed at its first run; PlannedStopTest shows the same under load).

Change: the same check is made again when the body is complete, and the response closes the connection if the host began to stop meanwhile.

Evidence: RequestAtStopTest$BodyInTheRefusingPhase got 200 before, and the server ran the request; it gets 503 with Retry-After now and the server sees nothing. In a first form of the test the route's timeout of 800 ms had passed, so that the balancer refused the request; it now uses 20 s.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -31,6 +31,7 @@
     private static final int LOG_SAMPLING_INTERVAL = 16;
 
     private static final long NOT_READY_RETRY_AFTER_MILLIS = 250;
+    private static final String STOPPING_REASON = "the host stops";
 
     private final RequestRouter mRouter;
     private final WireFormat mWire;
@@ -182,7 +183,7 @@
         if (routes == null) {
             return "no settings yet";
         }
-        return mStarting.getAsBoolean() ? "no answer of another host yet" : "the host stops";
+        return mStarting.getAsBoolean() ? "no answer of another host yet" : STOPPING_REASON;
     }
 
     private void receiveBody(HttpServerExchange exchange, RoutedRequest request) {
@@ -211,6 +212,14 @@
     }
 
     private void forward(HttpServerExchange exchange, RoutedRequest request, byte[] body) {
+        if (mStopping.getAsBoolean()) {
+            exchange.setPersistent(false);
+        }
+        if (mRefusing.getAsBoolean()) {
+            // The host began to stop while the body arrived.
+            refuseNotReady(exchange, request.client(), STOPPING_REASON);
+            return;
+        }
         ProxiedRequest proxied = new ProxiedRequest(this, exchange, request, body);
         mInFlight.add(proxied);
         ClientDisconnectDetector.start(exchange).onDisconnect(proxied::clientDisconnected);
