Hold at most 32 KiB of a response head, and none after its end

A report of other operators: a faulty server sent bytes that were no response, without end, and the machine that had called it ran out of memory.

ResponseScanner has a nullable head and a flag in place of four states.

--- a/http/src/main/java/org/redwingladder/http/ResponseHeadScanner.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseHeadScanner.java
@@ -9,7 +9,7 @@
 /** Scans the head of one response, RFC 9112 sections 4 and 5, and writes it in canonical form. */
 final class ResponseHeadScanner {
     /** The bytes of a head; more are rejected. */
-    static final int MAX_HEAD_BYTES = 64 << 10;
+    static final int MAX_HEAD_BYTES = 32 << 10;
 
     private static final byte[] VERSION = "HTTP/1.1 ".getBytes(ISO_8859_1);
     private static final int STATUS_DIGITS = 3;
--- a/http/src/main/java/org/redwingladder/http/ResponseScanner.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseScanner.java
@@ -9,40 +9,35 @@
  * network. The rules are those of RFC 9112; docs/backend.md lists what is tolerated beyond them.
  */
 final class ResponseScanner {
-    private enum State {
-        /** No response is due. */
-        IDLE,
-        HEAD,
-        BODY,
-        /** The connection may be used for the next request. */
-        COMPLETE
-    }
-
-    private State mState = State.IDLE;
     private boolean mHeadRequest;
-    private ResponseHeadScanner mHead = new ResponseHeadScanner(false);
-    private ChunkScanner mChunks = new ChunkScanner();
+
+    /** The scanner of the head that is due, null if none is. */
+    private @Nullable ResponseHeadScanner mHead;
+
+    private boolean mInBody;
     private BodyFraming mFraming = new BodyFraming.Fixed(0);
     private long mRemaining;
+    private ChunkScanner mChunks = new ChunkScanner();
 
-    /** Expects the response to a request that is about to be sent. */
+    /**
+     * Expects the response to a request that is about to be sent.
+     *
+     * @param headRequest whether the request's method is HEAD
+     */
     void startResponse(boolean headRequest) {
         mHeadRequest = headRequest;
         mHead = new ResponseHeadScanner(headRequest);
-        mState = State.HEAD;
+        mInBody = false;
     }
 
-    /** Returns how the end of the body is determined. The head must have been scanned. */
+    /** Returns how the end of the body is determined, once the head has been scanned. */
     BodyFraming framing() {
         return mFraming;
     }
 
-    /**
-     * Returns whether the response would be complete if the connection ended in good order here.
-     */
-    boolean atEndOfResponse() {
-        return mState == State.COMPLETE
-                || (mState == State.BODY && mFraming instanceof BodyFraming.UntilClose);
+    /** Returns whether the response is complete if no more bytes arrive. */
+    boolean isComplete() {
+        return mHead == null && (!mInBody || mFraming instanceof BodyFraming.UntilClose);
     }
 
     /**
@@ -53,16 +48,16 @@
      * @throws InvalidResponseException if the bytes are no response
      */
     byte @Nullable [] scan(ByteBuffer received) throws InvalidResponseException {
-        if (mState == State.BODY) {
+        if (mInBody) {
             scanBody(received);
             requireNoSurplus(received);
             return null;
         }
         ByteArrayOutputStream parsed = new ByteArrayOutputStream(received.remaining());
-        while (mState == State.HEAD && mHead.scan(received)) {
-            endHead(parsed);
+        for (ResponseHeadScanner head = mHead; head != null && head.scan(received); head = mHead) {
+            endHead(head, parsed);
         }
-        if (mState == State.BODY) {
+        if (mInBody) {
             ByteBuffer body = received.duplicate();
             scanBody(received);
             byte[] bytes = new byte[received.position() - body.position()];
@@ -73,21 +68,21 @@
         return parsed.toByteArray();
     }
 
-    private void endHead(ByteArrayOutputStream parsed) throws InvalidResponseException {
-        BodyFraming framing = mHead.framing();
-        if (mHead.isInterim()) {
+    private void endHead(ResponseHeadScanner head, ByteArrayOutputStream parsed)
+            throws InvalidResponseException {
+        BodyFraming framing = head.framing();
+        if (head.isInterim()) {
             mHead = new ResponseHeadScanner(mHeadRequest);
             return;
         }
-        parsed.writeBytes(mHead.canonicalBytes());
+        parsed.writeBytes(head.canonicalBytes());
+        mHead = null;
         mFraming = framing;
-        mState = State.BODY;
+        mInBody = true;
         switch (framing) {
             case BodyFraming.Fixed fixed -> {
                 mRemaining = fixed.bytes();
-                if (mRemaining == 0) {
-                    mState = State.COMPLETE;
-                }
+                mInBody = mRemaining > 0;
             }
             case BodyFraming.Chunked chunked -> mChunks = new ChunkScanner();
             case BodyFraming.UntilClose untilClose -> {}
@@ -100,20 +95,14 @@
                 int scanned = (int) Math.min(mRemaining, received.remaining());
                 received.position(received.position() + scanned);
                 mRemaining -= scanned;
-                if (mRemaining == 0) {
-                    mState = State.COMPLETE;
-                }
-            }
-            case BodyFraming.Chunked chunked -> {
-                if (mChunks.scan(received)) {
-                    mState = State.COMPLETE;
-                }
+                mInBody = mRemaining > 0;
             }
+            case BodyFraming.Chunked chunked -> mInBody = !mChunks.scan(received);
             case BodyFraming.UntilClose untilClose -> received.position(received.limit());
         }
     }
 
-    private void requireNoSurplus(ByteBuffer received) throws InvalidResponseException {
+    private static void requireNoSurplus(ByteBuffer received) throws InvalidResponseException {
         if (received.hasRemaining()) {
             throw new InvalidResponseException("unexpected bytes outside of a response");
         }
--- a/http/src/test/java/org/redwingladder/http/ResponseScannerTest.java
+++ b/http/src/test/java/org/redwingladder/http/ResponseScannerTest.java
@@ -36,7 +36,7 @@
                                 : new String(part, ISO_8859_1));
                 position += count;
             }
-            return new Scan(scanner.atEndOfResponse(), parsed.toString());
+            return new Scan(scanner.isComplete(), parsed.toString());
         } catch (InvalidResponseException e) {
             return new Scan(false, "");
         }
@@ -244,7 +244,7 @@
             ResponseScanner scanner = new ResponseScanner();
             scanner.startResponse(true);
             scanner.scan(ByteBuffer.wrap((OK + field + "\r\n\r\n").getBytes(ISO_8859_1)));
-            assertThat(scanner.atEndOfResponse()).isTrue();
+            assertThat(scanner.isComplete()).isTrue();
         }
     }
 }
