Fail all reads after the first violation of the grammar

Cause: found while reading the change: a read after a violation would go on in the middle of a malformed line. No caller reads on after an exception today, so that no test fails without it; the tests of http and of invalid and refused responses pass.

--- a/http/src/main/java/org/redwingladder/http/ResponseSourceConduit.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseSourceConduit.java
@@ -56,6 +56,9 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
+        if (mViolation != null) {
+            throw mViolation;
+        }
         try {
             return readResponse(target);
         } catch (InvalidResponseException e) {
