Let the stand-in backend server send an invalid status

Cause: the stand-in had faults of bodies, lengths and ids, but none of a response that is none.

Change: invalidAnswer counts responses with status 000.

--- a/daemon/src/test/java/org/redwingladder/request/BackendFailureTest.java
+++ b/daemon/src/test/java/org/redwingladder/request/BackendFailureTest.java
@@ -136,6 +136,30 @@
         }
     }
 
+    @Nested
+    class InvalidResponse {
+        @BeforeEach
+        void sendInvalidStatus() {
+            mFault.set(
+                    (request, out) -> {
+                        String valid = ScriptedHttpServer.head(request.id(), 200, 6) + "secret";
+                        return write(out, valid.replace(" 200 ", " 000 "));
+                    });
+        }
+
+        /** Guards against an invalid status that is delivered to the client. */
+        @Test
+        void isDiscardedAndIdempotentRequestIsRetried() throws Exception {
+            assertThat(mDeployment.get("e1", "/page").body()).isEqualTo("from afar");
+        }
+
+        @Test
+        void isDiscardedAndNonIdempotentRequestIsNotRetried() throws Exception {
+            assertUnknownOutcomeAfterOneRun(
+                    mDeployment.post("e1", "/pay", "5"), "backend-bad-answer");
+        }
+    }
+
     @Nested
     class DuplicateOrLateResponse {
         /** Guards against a duplicate response that answers the connection's next request. */
--- a/standin/src/main/java/org/redwingladder/standin/BackendFaults.java
+++ b/standin/src/main/java/org/redwingladder/standin/BackendFaults.java
@@ -18,6 +18,7 @@
  *     negative, the excess bytes of the body follow the response on the connection; if positive,
  *     the connection stays open and the missing bytes are never sent
  * @param duplicateAnswer count of responses that are sent twice on the connection
+ * @param invalidAnswer count of responses whose status is 000, after which the connection is closed
  * @param crossAnswer count of responses that are replaced by the previous response, with its
  *     request id and body
  * @param lateAnswer count of responses that are delayed until 300 ms after the request's deadline
@@ -36,6 +37,7 @@
         int wrongLength,
         int wrongLengthBy,
         int duplicateAnswer,
+        int invalidAnswer,
         int crossAnswer,
         int lateAnswer,
         @Nullable Integer wrongLoad,
@@ -45,7 +47,7 @@
         boolean down) {
     /** No faults. */
     public static final BackendFaults NONE =
-            new BackendFaults(1, 0, 0, 0, 0, 0, 0, 0, null, 0, 0, false, false);
+            new BackendFaults(1, 0, 0, 0, 0, 0, 0, 0, 0, null, 0, 0, false, false);
 
     /** Replaces absent values by their defaults. */
     public BackendFaults {
@@ -69,6 +71,7 @@
                         "truncateBody",
                         "wrongLength",
                         "duplicateAnswer",
+                        "invalidAnswer",
                         "crossAnswer",
                         "lateAnswer",
                         "shed"),
--- a/standin/src/main/java/org/redwingladder/standin/FaultCounters.java
+++ b/standin/src/main/java/org/redwingladder/standin/FaultCounters.java
@@ -12,6 +12,7 @@
         TRUNCATE,
         WRONG_LENGTH,
         DUPLICATE,
+        INVALID,
         CROSS,
         LATE,
         SHED
@@ -21,6 +22,7 @@
         mRemaining.put(Kind.TRUNCATE, faults.truncateBody());
         mRemaining.put(Kind.WRONG_LENGTH, faults.wrongLength());
         mRemaining.put(Kind.DUPLICATE, faults.duplicateAnswer());
+        mRemaining.put(Kind.INVALID, faults.invalidAnswer());
         mRemaining.put(Kind.CROSS, faults.crossAnswer());
         mRemaining.put(Kind.LATE, faults.lateAnswer());
         mRemaining.put(Kind.SHED, faults.shed());
@@ -43,6 +45,8 @@
             return ResponseSender.Mode.WRONG_LENGTH;
         } else if (tryConsume(Kind.DUPLICATE)) {
             return ResponseSender.Mode.DUPLICATED;
+        } else if (tryConsume(Kind.INVALID)) {
+            return ResponseSender.Mode.INVALID;
         }
         return ResponseSender.Mode.COMPLETE;
     }
--- a/standin/src/main/java/org/redwingladder/standin/ResponseSender.java
+++ b/standin/src/main/java/org/redwingladder/standin/ResponseSender.java
@@ -19,7 +19,8 @@
         COMPLETE,
         TRUNCATED,
         WRONG_LENGTH,
-        DUPLICATED
+        DUPLICATED,
+        INVALID
     }
 
     private ResponseSender() {}
@@ -45,7 +46,7 @@
             case TRUNCATED -> sendPartial(exchange, body, body.length / 2, body.length, true);
             case WRONG_LENGTH -> sendWrongLength(exchange, body, lengthError);
             case DUPLICATED -> {
-                byte[] duplicate = rawResponse(response);
+                byte[] duplicate = rawResponse(response, "200");
                 exchange.addExchangeCompleteListener(
                         (done, next) -> {
                             writeRaw(done, duplicate);
@@ -53,6 +54,10 @@
                         });
                 Exchanges.sendBytes(exchange, 200, body);
             }
+            case INVALID -> {
+                writeRaw(exchange, rawResponse(response, "000"));
+                Exchanges.closeConnection(exchange);
+            }
             default -> throw new IllegalArgumentException(mode.name());
         }
     }
@@ -109,11 +114,13 @@
         }
     }
 
-    private static byte[] rawResponse(BackendResponse response) throws IOException {
+    private static byte[] rawResponse(BackendResponse response, String status) throws IOException {
         ByteArrayOutputStream raw = new ByteArrayOutputStream();
         raw.write(
                 Exchanges.utf8(
-                        "HTTP/1.1 200 OK\r\nContent-Length: "
+                        "HTTP/1.1 "
+                                + status
+                                + " OK\r\nContent-Length: "
                                 + response.body().length
                                 + "\r\n"
                                 + Headers.REQUEST_ID
--- a/standin/src/test/java/org/redwingladder/standin/BackendServerTest.java
+++ b/standin/src/test/java/org/redwingladder/standin/BackendServerTest.java
@@ -205,6 +205,15 @@
             assertThat(bytes.split("HTTP/1.1 200 OK", -1)).hasSize(3);
         }
 
+        @Test
+        void invalidResponseHasAStatusOfZero() throws Exception {
+            inject("{\"invalidAnswer\":1}");
+
+            String bytes = raw(rawGet("r1"), text -> text.contains("\r\n\r\nr1\n"));
+
+            assertThat(bytes).startsWith("HTTP/1.1 000 ");
+        }
+
         @Test
         void crossedResponseRepeatsThePreviousOne() throws Exception {
             get("r1");
