Bound the length of the object keys that a host keeps

Callers saw: after 5000 requests with different Affinity-Key headers of 16 KB a host answered nothing any more, also after these clients had left.

Cause: ServerRankings keeps the rankings of the last 4096 objects under the key as the client sent it, up to 64 MB, until the set of servers changes.

All hosts shorten alike; the server gets the header unchanged.

--- a/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
+++ b/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.steering.LoadSample;
+import org.redwingladder.steering.ObjectKeys;
 import org.redwingladder.steering.RateLimitStatement;
 
 /** Encodes and decodes the headers and paths that clients and backend servers use. */
@@ -20,7 +21,11 @@
      * @param timeoutMillis how long the client waits for the response, -1 if unspecified
      */
     record ClientHeaders(
-            @Nullable String requestId, @Nullable String objectKey, long timeoutMillis) {}
+            @Nullable String requestId, @Nullable String objectKey, long timeoutMillis) {
+        public ClientHeaders {
+            objectKey = ObjectKeys.bounded(objectKey);
+        }
+    }
 
     /**
      * The decoded status and headers of a backend server's response.
