Bound the length of values in log lines

Callers saw: a host whose log is not read stopped answering when clients sent requests with ids of 16 KB.

Cause: up to 4096 lines wait for the writer; with a field that a client chooses in full length they take 64 MB.

Change: of each string field 512 characters are logged.

Evidence: ClientConnectionLoadTest$LongHeaders# ofRequestsStayInALogThatNobodyReads failed on (nothing served within 60 s) and passes.

--- a/daemon/src/main/java/org/redwingladder/entry/EventLog.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EventLog.java
@@ -26,6 +26,9 @@
     /** Limits the events of requests to about 100 KB a second; more are dropped. */
     private static final int MAX_REQUEST_LINES_PER_SECOND = 400;
 
+    /** Bounds the queued lines, as clients choose some of the values. */
+    private static final int MAX_VALUE_CHARACTERS = 512;
+
     private static final String REQUEST_LINE_PREFIX = "{\"part\":\"request\"";
     private static final long SECOND_NANOS = 1_000_000_000L;
 
@@ -70,10 +73,14 @@
             return this;
         }
 
-        /** Adds a string field. */
+        /** Adds a string field, of which only the first characters are kept if it is long. */
         public Line with(String name, @Nullable Object value) {
             mText.append(",\"").append(name).append("\":\"");
-            JsonStringEncoder.getInstance().quoteAsString(String.valueOf(value), mText);
+            String text = String.valueOf(value);
+            if (text.length() > MAX_VALUE_CHARACTERS) {
+                text = text.substring(0, MAX_VALUE_CHARACTERS) + "...";
+            }
+            JsonStringEncoder.getInstance().quoteAsString(text, mText);
             mText.append('"');
             return this;
         }
