Limit the open connections of each listener

Callers saw: clients that keep idle connections or do not send the bodies that they announced took all descriptors. Nobody else could connect, a host could not connect to servers, and requests got 500.

Cause: nothing limits accepted connections. XNIO accepts them on a thread of its own, ahead of the I/O thread.

Change: each listener has a part of the descriptors (ConnectionLimits; the number is `size.descriptors` of the configuration, from limits.max_fds; 1024 if it is missing). At the limit a new connection replaces the oldest one without a request, else the one whose body has been arriving for longest and over 2 s, else the one that has been idle for longest (ConnectionTable); a connection that is being served is never replaced. The accepting thread pauses at 32 connections more.

Evidence: OtherListeners#ofLookupsLeaveNoDescriptors, IdleConnections#afterOneRequestTakeAllDescriptors and #withUnfinishedBodiesTakeAllDescriptors of ClientConnectionLoadTest failed on (nothing served within 60 s) and pass.

--- a/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
@@ -12,6 +12,7 @@
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.Json;
 import org.redwingladder.http.JsonException;
+import org.redwingladder.limits.ConnectionLimits;
 import org.redwingladder.steering.HostResources;
 
 /** Parses and validates the configuration file of an entry host; reports all errors at once. */
@@ -68,7 +69,8 @@
                         address("store"),
                         new HostResources(
                                 number("size.cores") * number("size.partOfEachCore"),
-                                number("size.linkMegabits")),
+                                number("size.linkMegabits"),
+                                descriptors()),
                         new EntryConfig.Bounds(
                                 millis("bounds.stop"),
                                 millis("bounds.lookupLifetime"),
@@ -117,6 +119,24 @@
         return node.asDouble();
     }
 
+    private int descriptors() {
+        String path = "size.descriptors";
+        JsonNode node = node(path);
+        if (node == null) {
+            return HostResources.DEFAULT_DESCRIPTORS;
+        }
+        if (!node.isInt() || node.asInt() < ConnectionLimits.MIN_DESCRIPTORS) {
+            mErrors.add(
+                    path
+                            + ": expected a whole number of at least "
+                            + ConnectionLimits.MIN_DESCRIPTORS
+                            + ", found "
+                            + node);
+            return HostResources.DEFAULT_DESCRIPTORS;
+        }
+        return node.asInt();
+    }
+
     private long millis(String path) {
         String text = text(path);
         Matcher match = DURATION.matcher(text);
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -2,8 +2,10 @@
 
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -11,6 +13,7 @@
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AsyncHttpClient;
 import org.redwingladder.http.HttpClientLimits;
+import org.redwingladder.limits.ConnectionLimits;
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.LookupHostSelector;
@@ -162,16 +165,15 @@
      * @throws Exception if an address cannot be bound
      */
     public void start(StoreClient store) throws Exception {
-        HttpListener clients =
-                new HttpListener("clients", mConfig.clients(), mWorker, mBuffers, mProxy);
+        ConnectionLimits limits = ConnectionLimits.ofDescriptors(mConfig.size().descriptors());
+        HttpListener clients = listener("clients", mConfig.clients(), limits.clients(), mProxy);
         mRouter.onSettings(settings -> clients.limits(settings.limits()));
-        mSupervisor.start(new HttpListener("peers", mConfig.peers(), mWorker, mBuffers, mGossip));
+        mSupervisor.start(listener("peers", mConfig.peers(), limits.peers(), mGossip));
         mSupervisor.start(clients);
         mSupervisor.start(
-                new HttpListener(
-                        "readiness", mConfig.readiness(), mWorker, mBuffers, this::readiness));
+                listener("readiness", mConfig.readiness(), limits.readiness(), this::readiness));
         HttpListener lookups =
-                new HttpListener("lookups", mConfig.lookups(), mWorker, mBuffers, this::lookup);
+                listener("lookups", mConfig.lookups(), limits.lookups(), this::lookup);
         mSupervisor.start(lookups);
         mClientListeners = List.of(lookups, clients);
         mMetrics.gauge("requests.open", mProxy::inFlight);
@@ -192,6 +194,14 @@
                 .write();
     }
 
+    private HttpListener listener(
+            String name, InetSocketAddress address, int maxConnections, HttpHandler handler) {
+        ClientConnections connections =
+                new ClientConnections(name, maxConnections, mLog, mMetrics);
+        mMetrics.gauge("connections." + name, connections::size);
+        return new HttpListener(name, address, mWorker, mBuffers, handler, connections);
+    }
+
     /**
      * Applies a reloaded configuration. Seeds and bounds take effect at once, other members at the
      * next start of the process.
--- a/daemon/src/main/java/org/redwingladder/entry/HttpListener.java
+++ b/daemon/src/main/java/org/redwingladder/entry/HttpListener.java
@@ -20,6 +20,13 @@
 /** Accepts HTTP connections on one address, with the client limits of the settings in force. */
 final class HttpListener implements Component {
     private static final int BACKLOG = 1024;
+
+    /**
+     * The accepted connections that wait for the I/O thread, which replaces others by them, when
+     * accepting goes on; it pauses at twice as many.
+     */
+    private static final int WAITING_CONNECTIONS = 16;
+
     private static final int MAX_HEADERS = 200;
 
     /** The limits until settings are known. */
@@ -37,6 +44,7 @@
     private final XnioWorker mWorker;
     private final ByteBufferPool mBuffers;
     private final HttpHandler mHandler;
+    private final ClientConnections mConnections;
     private @Nullable HttpOpenListener mListener;
     private @Nullable AcceptingChannel<? extends StreamConnection> mServer;
 
@@ -45,12 +53,14 @@
             InetSocketAddress address,
             XnioWorker worker,
             ByteBufferPool buffers,
-            HttpHandler handler) {
+            HttpHandler handler,
+            ClientConnections connections) {
         mName = name;
         mAddress = address;
         mWorker = worker;
         mBuffers = buffers;
         mHandler = handler;
+        mConnections = connections;
     }
 
     @Override
@@ -61,16 +71,24 @@
     @Override
     public void start(FailureListener failures) throws IOException {
         HttpOpenListener listener = new HttpOpenListener(mBuffers, options(DEFAULT_LIMITS));
-        listener.setRootHandler(mHandler);
+        listener.setRootHandler(mConnections.tracking(mHandler));
         OptionMap socketOptions =
                 OptionMap.builder()
                         .set(Options.REUSE_ADDRESSES, true)
                         .set(Options.TCP_NODELAY, true)
                         .set(Options.BACKLOG, BACKLOG)
+                        .set(
+                                Options.CONNECTION_HIGH_WATER,
+                                mConnections.maxConnections() + 2 * WAITING_CONNECTIONS)
+                        .set(
+                                Options.CONNECTION_LOW_WATER,
+                                mConnections.maxConnections() + WAITING_CONNECTIONS)
                         .getMap();
         AcceptingChannel<? extends StreamConnection> server =
                 mWorker.createStreamConnectionServer(
-                        mAddress, ChannelListeners.openListenerAdapter(listener), socketOptions);
+                        mAddress,
+                        ChannelListeners.openListenerAdapter(mConnections.admitting(listener)),
+                        socketOptions);
         server.resumeAccepts();
         mListener = listener;
         mServer = server;
--- a/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
@@ -42,7 +42,12 @@
                         mAddress,
                         mThread.thread().getWorker(),
                         new DefaultByteBufferPool(true, 16_384),
-                        exchange -> Responses.text(exchange, 200, "served"));
+                        exchange -> Responses.text(exchange, 200, "served"),
+                        new ClientConnections(
+                                "clients",
+                                CONNECTIONS,
+                                EventLog.of("h"),
+                                new EntryMetrics()));
         mListener.start(cause -> {});
     }
 
