Limit the time in which a host waits for a client

Callers saw: clients that read streamed responses slowly, or send bodies byte by byte, held the connections to the servers until the route's time had passed; ordinary requests got 503 meanwhile.

Cause: only the deadline of the request ends such a transfer, and nothing ends one whose response is complete at the host.

Time in which the host does not read, or has nothing to write, is not counted, so that a slow server ends nothing.

--- a/daemon/src/main/java/org/redwingladder/entry/ClientConnection.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.nio.channels.FileChannel;
 import java.util.ArrayList;
 import java.util.List;
+import org.redwingladder.limits.TransferAllowance;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
@@ -23,6 +24,8 @@
     private final List<Runnable> mEndListeners = new ArrayList<>();
     private final List<Runnable> mCloseListeners = new ArrayList<>();
     private boolean mClosed;
+    private final TransferAllowance mReceiving = new TransferAllowance();
+    private final TransferAllowance mSending = new TransferAllowance();
     private long mReceived;
     private long mSent;
     private int mPipelined;
@@ -51,6 +54,26 @@
         return mSent;
     }
 
+    /** Begins to limit the time in which the host waits for the body of a request. */
+    void startReceiving() {
+        mReceiving.restart();
+    }
+
+    /** Begins to limit the time in which the host waits for the client to read a response. */
+    void startSending() {
+        mSending.restart();
+    }
+
+    /** Returns whether the client reads a response too slowly. */
+    boolean readsTooSlowly(long nowNanos) {
+        return mSending.isExceeded(nowNanos);
+    }
+
+    /** Returns whether the client sends a body too slowly. */
+    boolean sendsTooSlowly(long nowNanos) {
+        return mReceiving.isExceeded(nowNanos);
+    }
+
     /** Returns the client's address. */
     String address() {
         return String.valueOf(mChannel.getPeerAddress());
@@ -114,6 +137,9 @@
         private long count(long bytes) {
             if (bytes > 0) {
                 mReceived += bytes;
+                mReceiving.transferred(bytes, System.nanoTime());
+            } else if (bytes == 0) {
+                mReceiving.waitBegins(System.nanoTime());
             }
             return bytes;
         }
@@ -145,40 +171,61 @@
             super(next);
         }
 
-        private long count(long bytes) {
-            mSent += Math.max(0, bytes);
+        private long count(long bytes, boolean blocked) {
+            if (bytes > 0) {
+                mSent += bytes;
+                mSending.transferred(bytes, System.nanoTime());
+            }
+            if (blocked) {
+                mSending.waitBegins(System.nanoTime());
+            }
             return bytes;
         }
 
+        private static boolean anyRemaining(ByteBuffer[] buffers, int offset, int length) {
+            for (int i = offset; i < offset + length; i++) {
+                if (buffers[i].hasRemaining()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         @Override
         public int write(ByteBuffer source) throws IOException {
-            return (int) count(next.write(source));
+            int written = next.write(source);
+            return (int) count(written, source.hasRemaining());
         }
 
         @Override
         public long write(ByteBuffer[] sources, int offset, int length) throws IOException {
-            return count(next.write(sources, offset, length));
+            long written = next.write(sources, offset, length);
+            return count(written, anyRemaining(sources, offset, length));
         }
 
         @Override
         public int writeFinal(ByteBuffer source) throws IOException {
-            return (int) count(next.writeFinal(source));
+            int written = next.writeFinal(source);
+            return (int) count(written, source.hasRemaining());
         }
 
         @Override
         public long writeFinal(ByteBuffer[] sources, int offset, int length) throws IOException {
-            return count(next.writeFinal(sources, offset, length));
+            long written = next.writeFinal(sources, offset, length);
+            return count(written, anyRemaining(sources, offset, length));
         }
 
         @Override
         public long transferFrom(FileChannel source, long position, long count) throws IOException {
-            return count(next.transferFrom(source, position, count));
+            long written = next.transferFrom(source, position, count);
+            return count(written, written == 0);
         }
 
         @Override
         public long transferFrom(StreamSourceChannel source, long count, ByteBuffer through)
                 throws IOException {
-            return count(next.transferFrom(source, count, through));
+            long written = next.transferFrom(source, count, through);
+            return count(written, through.hasRemaining());
         }
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
@@ -6,38 +6,57 @@
 import io.undertow.util.AttachmentKey;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.redwingladder.limits.ConnectionPhase;
 import org.redwingladder.limits.ConnectionTable;
 import org.xnio.ChannelListener;
 import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
 
 /**
- * The connections that one listener has accepted: limits their number. Used on the I/O thread only.
+ * The connections that one listener has accepted: limits their number, the requests that a client
+ * may send ahead, and the time that it may take to send a body or to read a response. Used on the
+ * I/O thread only.
  */
 final class ClientConnections {
+    private static final long CHECK_MILLIS = 1_000;
     private static final AttachmentKey<Tracked> TRACKED = AttachmentKey.create(Tracked.class);
 
     private final String mListener;
     private final int mMaxConnections;
     private final ConnectionTable<ClientConnection> mTable;
     private final Map<StreamConnection, ClientConnection> mByChannel = new HashMap<>();
+    private final XnioIoThread mThread;
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
+    private boolean mClosed;
 
     private record Tracked(ClientConnections connections, ClientConnection connection) {}
 
     ClientConnections(
             String listener,
             int maxConnections,
+            XnioIoThread thread,
             EventLog log,
             EntryMetrics metrics) {
         mListener = listener;
         mMaxConnections = maxConnections;
         mTable = ConnectionTable.ofLimit(maxConnections);
+        mThread = thread;
         mLog = log;
         mMetrics = metrics;
     }
 
+    /** Starts the check for clients that are too slow. */
+    void start() {
+        mThread.executeAfter(this::closeSlow, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends the check for clients that are too slow. */
+    void stop() {
+        mClosed = true;
+    }
+
     /** Returns a listener that admits accepted connections before {@code next} handles them. */
     ChannelListener<StreamConnection> admitting(ChannelListener<StreamConnection> next) {
         return channel -> {
@@ -86,6 +105,21 @@
         connection.close();
     }
 
+    private void closeSlow() {
+        if (mClosed) {
+            return;
+        }
+        long now = System.nanoTime();
+        for (ClientConnection connection : mTable.transferring()) {
+            if (connection.readsTooSlowly(now)) {
+                abort(connection, "reads-too-slowly");
+            } else if (mTable.isReceiving(connection) && connection.sendsTooSlowly(now)) {
+                abort(connection, "sends-too-slowly");
+            }
+        }
+        mThread.executeAfter(this::closeSlow, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns a handler that records the requests before {@code next} handles them. */
     HttpHandler tracking(HttpHandler next) {
         return exchange -> {
@@ -104,6 +138,7 @@
             AbstractServerConnection server,
             ClientConnection connection) {
         exchange.putAttachment(TRACKED, new Tracked(this, connection));
+        connection.startReceiving();
         mTable.enter(
                 connection,
                 exchange.isRequestComplete()
@@ -111,6 +146,7 @@
                         : new ConnectionPhase.Receiving(System.nanoTime()));
         exchange.addResponseCommitListener(
                 same -> {
+                    connection.startSending();
                     // The rest of a body is read and dropped after the response.
                     if (same.isRequestComplete()) {
                         mTable.enter(connection, new ConnectionPhase.Sending());
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -197,7 +197,7 @@
     private HttpListener listener(
             String name, InetSocketAddress address, int maxConnections, HttpHandler handler) {
         ClientConnections connections =
-                new ClientConnections(name, maxConnections, mLog, mMetrics);
+                new ClientConnections(name, maxConnections, mThread, mLog, mMetrics);
         mMetrics.gauge("connections." + name, connections::size);
         return new HttpListener(name, address, mWorker, mBuffers, handler, connections);
     }
--- a/daemon/src/main/java/org/redwingladder/entry/HttpListener.java
+++ b/daemon/src/main/java/org/redwingladder/entry/HttpListener.java
@@ -89,6 +89,7 @@
                         mAddress,
                         ChannelListeners.openListenerAdapter(mConnections.admitting(listener)),
                         socketOptions);
+        mConnections.start();
         server.resumeAccepts();
         mListener = listener;
         mServer = server;
@@ -121,6 +122,7 @@
 
     @Override
     public void stop() {
+        mConnections.stop();
         if (mServer != null) {
             IoUtils.safeClose(mServer);
             mServer = null;
--- a/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
@@ -46,6 +46,7 @@
                         new ClientConnections(
                                 "clients",
                                 CONNECTIONS,
+                                mThread.thread(),
                                 EventLog.of("h"),
                                 new EntryMetrics()));
         mListener.start(cause -> {});
