Close connections whose client sends many requests ahead

Callers saw: while 100 clients sent requests without a pause, nobody else was served; look-ups and readiness had no answer either.

Cause: Undertow handles the next request of a connection whose bytes have already been read in a task of the I/O thread, and XNIO runs all tasks before it looks at other connections. Each connection that always has another request ready keeps the thread to itself.

Change: the 17th request in a row that arrived before the response to the one before is answered with `Connection: close`. The users' clients send one request at a time.

--- a/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
@@ -19,6 +19,9 @@
  * I/O thread only.
  */
 final class ClientConnections {
+    /** The requests in a row that a client may send before the response to the one before. */
+    static final int MAX_PIPELINED_REQUESTS = 16;
+
     private static final long CHECK_MILLIS = 1_000;
     private static final AttachmentKey<Tracked> TRACKED = AttachmentKey.create(Tracked.class);
 
@@ -137,6 +140,10 @@
             HttpServerExchange exchange,
             AbstractServerConnection server,
             ClientConnection connection) {
+        if (connection.pipelined() >= MAX_PIPELINED_REQUESTS) {
+            mMetrics.count("connection.closed.pipelined");
+            exchange.setPersistent(false);
+        }
         exchange.putAttachment(TRACKED, new Tracked(this, connection));
         connection.startReceiving();
         mTable.enter(
