Drop response bodies when they are sent, and hold them within one budget

Cause, by a histogram of the heap of the crowd test: 39 open connections held 40 MB of byte arrays while the budget of bodies had 1 MB reserved. 1. The last response of a connection stays in memory until its next request. Undertow keeps the buffer that it writes together with the head, its Sender keeps the whole body, and the reader of the response kept it for the pooled connection to the server. 24 clients with responses of 4 MB that then do nothing fill a heap of 96 MB. 2. The budget of 16 MB for buffered bodies ended with the call, before the body was sent, and did not count the first 64 KB of each. 3. A read that found more than 128 KB of a body in the socket took them for bytes besides the body: 36 of 100 orders with responses of 1 MB got 502. 4. A streamed response went on, and held its connection to the server, when the host closed the client's connection; a response that its client did not read counted as lost by the server.

Change: ResponseBodyWriter writes a copy of 2 KB with the head and drops the body once written; ResponseReader drops it too and reads at most 64 KB at once. All bytes of responses to clients are reserved in a budget of a quarter of the heap until they are sent or the connection ends (BufferBudget.Reservation); what finds no room is streamed. The store and other hosts keep a budget of their own. The end of a client's connection ends its request. HedgePolicy and DiscardedTransfer are moved code.

Evidence: the four tests of UnreadResponseTest failed on (OutOfMemoryError, or nothing served within 60 s) and pass.

--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AsyncHttpClient;
+import org.redwingladder.http.BufferBudget;
 import org.redwingladder.http.HttpClientLimits;
 import org.redwingladder.limits.ConnectionLimits;
 import org.redwingladder.steering.GossipMembership;
@@ -35,9 +36,12 @@
 
     private static final int IDLE_TIMEOUT_MILLIS = 5_000;
 
-    /** Leaves most of the heap of 96 MB to requests in flight. */
+    /** For the tables of the store and the messages of other hosts. */
     private static final long MAX_TOTAL_BUFFERED_BYTES = 16 << 20;
 
+    /** The part of the heap for bodies of requests and responses of clients. */
+    private static final double CLIENT_BODIES_FRACTION = 0.25;
+
     private static final long PERIODIC_TASKS_MILLIS = 1_000;
 
     /** A new host refuses look-ups until the first gossip message, at most for this time. */
@@ -72,6 +76,9 @@
     private final XnioIoThread mThread;
     private final AsyncHttpClient mHttpClient;
     private final ByteBufferPool mBuffers;
+    private final BufferBudget mClientBodies =
+            BufferBudget.ofBytes(
+                    (long) (CLIENT_BODIES_FRACTION * Runtime.getRuntime().maxMemory()));
     private final RequestRouter mRouter;
     private final StoreReplica mReplica;
     private final GossipService mGossip;
@@ -127,7 +134,9 @@
                         log,
                         mMetrics);
         mRegistration = new HostRegistration(config.host(), mMembers, mThread, log);
-        mProxy = new ProxyHandler(mRouter, wire, mHttpClient, log, mMetrics, mRequestRates);
+        mProxy =
+                new ProxyHandler(
+                        mRouter, wire, mHttpClient, log, mMetrics, mRequestRates, mClientBodies);
         mProxy.startPhase(this::starting);
         mProxy.shutdownPhase(() -> mStopping, this::refusing);
         mRestarts = Executors.newSingleThreadScheduledExecutor();
@@ -177,6 +186,7 @@
         mSupervisor.start(lookups);
         mClientListeners = List.of(lookups, clients);
         mMetrics.gauge("requests.open", mProxy::inFlight);
+        mMetrics.gauge("bodies.bytes", mClientBodies::reservedBytes);
         mMetrics.gauge("hosts.alive", () -> mMembers.alive(System.nanoTime()).size());
         mMetrics.gauge("settings.version", this::settingsVersion);
         mMetrics.gauge("servers.limited", mRouter::limitedServers);
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -33,21 +33,9 @@
  * attempt takes unusually long.
  */
 final class ProxiedRequest {
-    /** An attempt that takes this many times its expected time is likely to be a straggler. */
-    private static final double HEDGE_DELAY_FACTOR = 2.2;
-
-    /**
-     * The longest expected queueing time of a hedge, as a multiple of its service time; a hedge
-     * helps only if it starts nearly at once.
-     */
-    private static final double HEDGE_MAX_WAIT_FACTOR = 0.15;
-
     /** The clients of a host that stops switch to others within this time. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 250;
 
-    private static final long MIN_HEDGE_DELAY_NANOS = 20_000_000L;
-    private static final double NANOS_PER_MILLI = 1e6;
-
     private final ProxyHandler mHandler;
     private final HttpServerExchange mExchange;
     private final Route mRoute;
@@ -62,6 +50,7 @@
     private boolean mDone;
     private SendResult mLastResult = SendResult.FULL;
     private XnioExecutor.@Nullable Key mHedgeTimer;
+    private @Nullable Attempt mStreaming;
 
     ProxiedRequest(
             ProxyHandler handler,
@@ -101,6 +90,9 @@
     void clientDisconnected() {
         if (!mDone) {
             finish();
+            if (mStreaming != null) {
+                mStreaming.cancel();
+            }
             mLog.clientDisconnected();
         }
     }
@@ -136,8 +128,7 @@
         if (!mHistory.mayHedge() || mDone) {
             return;
         }
-        double millis = HEDGE_DELAY_FACTOR * (first.waitMillis() + first.serviceMillis());
-        long delay = Math.max(MIN_HEDGE_DELAY_NANOS, (long) (millis * NANOS_PER_MILLI));
+        long delay = HedgePolicy.delayNanos(first);
         if (System.nanoTime() + delay - mDeadlineNanos >= 0) {
             return;
         }
@@ -150,7 +141,7 @@
             return;
         }
         if (place() instanceof BalancerDecision.Send send
-                && send.waitMillis() <= HEDGE_MAX_WAIT_FACTOR * send.serviceMillis()
+                && HedgePolicy.isWorthwhile(send)
                 && mHandler.router().trySpendRetry(mService)) {
             mLog.retried("slow");
             send(send);
@@ -281,6 +272,7 @@
         public void buffered(BufferedResponse response) {
             SendResult result = classify(response.status(), response.headers());
             if (!end(result)) {
+                response.release();
                 return;
             }
             if (result == SendResult.ANSWERED) {
@@ -289,6 +281,7 @@
             if (isForwarded(result)) {
                 forward(response);
             } else {
+                response.release();
                 retryOrFail(result);
             }
         }
@@ -318,6 +311,7 @@
 
         private void forward(BufferedResponse response) {
             if (mDone) {
+                response.release();
                 return;
             }
             mLog.answered(mPlacement, mLoad, mSentNanos, response.status());
@@ -332,14 +326,15 @@
             mPendingAttempts.remove(this);
             if (mDone || mState.ended() || !isForwarded(result)) {
                 boolean first = end(result);
-                response.discard(new Discarded());
+                response.discard(new DiscardedTransfer());
                 if (first) {
                     retryOrFail(result);
                 }
                 return;
             }
             cancelPendingAttempts();
-            mHandler.forwardResponse(mExchange, response, new Transfer(result));
+            mStreaming = this;
+            mHandler.forwardResponse(mExchange, response, new Transfer(response, result));
             mLog.answered(mPlacement, mLoad, mSentNanos, response.status());
         }
 
@@ -355,21 +350,12 @@
             }
         }
 
-        /** The response is not used; the request goes on without it. */
-        private static final class Discarded implements StreamedResponse.TransferHandler {
-            @Override
-            public void transferred(long bytes) {
-                throw new IllegalStateException("a discarded response was transferred");
-            }
-
-            @Override
-            public void failed(CallException cause) {}
-        }
-
         private final class Transfer implements StreamedResponse.TransferHandler {
+            private final StreamedResponse mResponse;
             private final SendResult mResult;
 
-            Transfer(SendResult result) {
+            Transfer(StreamedResponse response, SendResult result) {
+                mResponse = response;
                 mResult = result;
             }
 
@@ -382,7 +368,8 @@
             @Override
             public void failed(CallException cause) {
                 mLog.callFailed(mBackend, cause);
-                end(SendResult.LOST);
+                // A client that does not read tells nothing about the server.
+                end(mResponse.receiverBlocked() ? SendResult.CANCELLED : SendResult.LOST);
                 finishOnce();
             }
 
--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -5,14 +5,15 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.AsyncHttpClient;
+import org.redwingladder.http.BufferBudget;
 import org.redwingladder.http.BufferedResponse;
+import org.redwingladder.http.ResponseBodyWriter;
 import org.redwingladder.http.StreamedResponse;
 import org.redwingladder.request.ClientDisconnectDetector;
 import org.redwingladder.steering.NotRunProof;
@@ -39,6 +40,7 @@
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
     private final RequestRateMeter mRequestRates;
+    private final BufferBudget mClientBodies;
     private final RefusalGuard mRefusalGuard;
     private final Set<ProxiedRequest> mInFlight = new HashSet<>();
     private BooleanSupplier mStopping = () -> false;
@@ -66,13 +68,15 @@
             AsyncHttpClient httpClient,
             EventLog log,
             EntryMetrics metrics,
-            RequestRateMeter requestRates) {
+            RequestRateMeter requestRates,
+            BufferBudget clientBodies) {
         mRouter = router;
         mWire = wire;
         mHttpClient = httpClient;
         mLog = log;
         mMetrics = metrics;
         mRequestRates = requestRates;
+        mClientBodies = clientBodies;
         mRefusalGuard = new RefusalGuard(log, metrics);
     }
 
@@ -107,6 +111,11 @@
         return mHttpClient;
     }
 
+    /** Returns the memory for bodies of requests and responses of clients. */
+    BufferBudget clientBodies() {
+        return mClientBodies;
+    }
+
     EventLog log() {
         return mLog;
     }
@@ -223,6 +232,7 @@
         ProxiedRequest proxied = new ProxiedRequest(this, exchange, request, body);
         mInFlight.add(proxied);
         ClientDisconnectDetector.start(exchange).onDisconnect(proxied::clientDisconnected);
+        ClientConnections.onClose(exchange, proxied::clientDisconnected);
         proxied.start();
     }
 
@@ -297,8 +307,10 @@
     /** Sends a buffered response of a backend server, unless a response has already started. */
     void forwardResponse(HttpServerExchange exchange, BufferedResponse response) {
         if (exchange.isResponseStarted()) {
+            response.release();
             return;
         }
+        ClientConnections.onRequestEnd(exchange, response::release);
         exchange.setStatusCode(response.status());
         mWire.writeClientHeaders(response.headers(), exchange.getResponseHeaders());
         if (Methods.HEAD.equals(exchange.getRequestMethod()) || response.body().length == 0) {
@@ -306,7 +318,7 @@
             exchange.endExchange();
         } else {
             exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, response.body().length);
-            exchange.getResponseSender().send(ByteBuffer.wrap(response.body()));
+            ResponseBodyWriter.send(exchange, response.body());
         }
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
@@ -45,7 +45,8 @@
                         .connectDeadlineNanos(sentNanos + CONNECT_TIMEOUT_NANOS)
                         .allowCloseDelimitedBody()
                         .maxIdleNanos(mHandler.router().maxIdleNanos(mRequest.service()))
-                        .maxBufferedBytes(MAX_BUFFERED_BYTES);
+                        .maxBufferedBytes(MAX_BUFFERED_BYTES)
+                        .bodyBudget(mHandler.clientBodies());
         long left = Math.max(1, (mRequest.deadlineNanos() - sentNanos) / NANOS_PER_MILLI);
         mHandler.wire()
                 .writeServerHeaders(
--- a/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
+++ b/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
@@ -52,7 +52,7 @@
         mWorker = worker;
         mBuffers = buffers;
         mLimits = limits;
-        mBufferBudget = new BufferBudget(limits.maxTotalBufferedBytes());
+        mBufferBudget = BufferBudget.ofBytes(limits.maxTotalBufferedBytes());
         mOwnsWorker = ownsWorker;
         mWorker.getIoThread(0)
                 .executeAtInterval(
--- a/http/src/main/java/org/redwingladder/http/CallRequest.java
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -27,6 +27,8 @@
     private long mMaxIdleNanos = Long.MAX_VALUE;
     private int mMaxBufferedBytes = HttpClientLimits.DEFAULT_MAX_BUFFERED_BYTES;
 
+    private @Nullable BufferBudget mBodyBudget;
+
     private CallRequest(
             HttpString method, InetSocketAddress address, String path, long deadlineNanos) {
         mAddress = address;
@@ -102,6 +104,16 @@
         return this;
     }
 
+    /**
+     * Reserves the memory of a buffered response body in {@code budget} instead of the one of the
+     * client. The handler has to {@linkplain BufferedResponse#release() release} the response. A
+     * body that exceeds the budget is streamed.
+     */
+    public CallRequest bodyBudget(BufferBudget budget) {
+        mBodyBudget = budget;
+        return this;
+    }
+
     /** Returns the mutable request headers, for setting many of them. */
     public HeaderMap headers() {
         return mRequest.getRequestHeaders();
@@ -145,6 +157,10 @@
         return mMaxIdleNanos;
     }
 
+    @Nullable BufferBudget bodyBudget() {
+        return mBodyBudget;
+    }
+
     int maxBufferedBytes() {
         return mMaxBufferedBytes;
     }
--- a/http/src/main/java/org/redwingladder/http/ResponseReader.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseReader.java
@@ -18,6 +18,10 @@
 final class ResponseReader {
     private static final long UNKNOWN_LENGTH = -1;
     private static final byte[] EMPTY = new byte[0];
+
+    /** Below the bytes that may arrive before those of the body are recorded. */
+    private static final int MAX_READ_BYTES = BoundedSourceConduit.MAX_OVERHEAD_BYTES / 2;
+
     private static final int INITIAL_CHUNKED_BUFFER_BYTES = 4096;
 
     private final ClientCall mCall;
@@ -29,7 +33,9 @@
     private final int mMaxBufferedBytes;
     private byte[] mBody = EMPTY;
     private int mRead;
-    private long mReserved;
+    private final BufferBudget.Reservation mReservation;
+    private final boolean mReleasedByReceiver;
+    private final int mUnreservedBytes;
 
     ResponseReader(
             ClientCall call,
@@ -44,10 +50,14 @@
         mFraming = framing;
         mLength = framing instanceof BodyFraming.Fixed fixed ? fixed.bytes() : UNKNOWN_LENGTH;
         mMaxBufferedBytes = call.request().maxBufferedBytes();
+        BufferBudget budget = call.request().bodyBudget();
+        mReleasedByReceiver = budget != null;
+        mUnreservedBytes = budget == null ? HttpClientLimits.DEFAULT_MAX_BUFFERED_BYTES : 0;
+        mReservation = (budget == null ? call.client().bufferBudget() : budget).open();
     }
 
     void start() {
-        mCall.setEndListener(this::releaseBuffer);
+        mCall.setEndListener(mReservation::release);
         int size =
                 lengthKnown()
                         ? (int) Math.min(mLength, Integer.MAX_VALUE)
@@ -62,22 +72,8 @@
         read(mSource);
     }
 
-    /** Reserves memory for a body of the given size; small bodies need no reservation. */
     private boolean tryReserve(int size) {
-        long needed = size - HttpClientLimits.DEFAULT_MAX_BUFFERED_BYTES - mReserved;
-        if (needed <= 0) {
-            return true;
-        }
-        if (!mCall.client().bufferBudget().tryReserve(needed)) {
-            return false;
-        }
-        mReserved += needed;
-        return true;
-    }
-
-    private void releaseBuffer() {
-        mCall.client().bufferBudget().release(mReserved);
-        mReserved = 0;
+        return mReservation.tryGrowTo(size - mUnreservedBytes);
     }
 
     private void read(StreamSourceChannel source) {
@@ -136,7 +132,7 @@
         if (lengthKnown() && mRead == mLength) {
             return ByteBuffer.allocate(1);
         }
-        return ByteBuffer.wrap(mBody, mRead, mBody.length - mRead);
+        return ByteBuffer.wrap(mBody, mRead, Math.min(MAX_READ_BYTES, mBody.length - mRead));
     }
 
     private void endOfBody() {
@@ -147,11 +143,19 @@
             return;
         }
         byte[] body = mRead == mBody.length ? mBody : Arrays.copyOf(mBody, mRead);
+        // This object stays reachable as long as its connection is pooled.
+        mBody = EMPTY;
         BufferedResponse response =
                 new BufferedResponse(
-                        mResponse.getResponseCode(), mResponse.getResponseHeaders(), body);
+                        mResponse.getResponseCode(),
+                        mResponse.getResponseHeaders(),
+                        body,
+                        mReleasedByReceiver ? mReservation : null);
         afterTrailingDataCheck(
                 () -> {
+                    if (mReleasedByReceiver && !mCall.done()) {
+                        mCall.setEndListener(() -> {});
+                    }
                     if (mCall.complete()) {
                         mConnection.release(mResponse.getResponseHeaders());
                         mCall.handler().buffered(response);
--- a/http/src/main/java/org/redwingladder/http/ResponseStream.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseStream.java
@@ -30,6 +30,7 @@
     private ByteBuffer mPending;
     private long mTransferred;
     private boolean mSourceEnded;
+    private boolean mReceiverBlocked;
 
     ResponseStream(ResponseReader reader, ClientCall call, StreamSourceChannel source) {
         mReader = reader;
@@ -53,6 +54,11 @@
         return mReader.length();
     }
 
+    @Override
+    public synchronized boolean receiverBlocked() {
+        return mReceiverBlocked;
+    }
+
     @Override
     public void discard(TransferHandler handler) {
         synchronized (this) {
@@ -144,7 +150,8 @@
         try {
             while (mPending.hasRemaining()) {
                 int count = sink.write(mPending);
-                if (count == 0) {
+                mReceiverBlocked = count == 0;
+                if (mReceiverBlocked) {
                     mSource.suspendReads();
                     sink.resumeWrites();
                     return false;
--- a/http/src/main/java/org/redwingladder/http/StreamedResponse.java
+++ b/http/src/main/java/org/redwingladder/http/StreamedResponse.java
@@ -39,6 +39,9 @@
      */
     void transferTo(HttpServerExchange exchange, Pacer pacer, TransferHandler handler);
 
+    /** Returns whether a transfer waits, or waited at its end, for the receiver to read. */
+    boolean receiverBlocked();
+
     /**
      * Discards the response by closing its connection; the handler is called with a cancellation.
      */
