Pass large request bodies on as they arrive

Callers saw: requests that state a long body, or send one, ended a host for lack of memory; a single body of the largest size that the settings allow (64 MiB) was not served in calm either.

Cause: a body was received as a whole, in a buffer of the length that the client states, and copied.

The rest is passed on (RequestBodyStream): the client is read only when the server takes more. Such a request can be sent to one server only; before, bodies of any size could be sent again. A server may answer before the body has arrived: its response is forwarded, also a refusal with its proof, which became 502 before; its connection is closed.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import org.redwingladder.http.BufferedResponse;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
+import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseHandler;
 import org.redwingladder.http.ResponseLostException;
 import org.redwingladder.http.StreamedResponse;
@@ -41,6 +42,7 @@
     private final Route mRoute;
     private final String mService;
     private final WireFormat.ClientHeaders mClient;
+    private final RequestBody mBody;
     private final ServerRequestBuilder mRequests;
     private final RequestLog mLog;
     private final long mDeadlineNanos;
@@ -56,7 +58,7 @@
             ProxyHandler handler,
             HttpServerExchange exchange,
             ProxyHandler.RoutedRequest request,
-            byte[] body) {
+            RequestBody body) {
         mHandler = handler;
         mExchange = exchange;
         mRoute = request.route();
@@ -65,6 +67,7 @@
         mLog = new RequestLog(handler, request);
         mHistory = AttemptTracker.create(mRoute);
         mDeadlineNanos = request.deadlineNanos();
+        mBody = body;
         mRequests = new ServerRequestBuilder(handler, exchange, request, body);
     }
 
@@ -125,7 +128,7 @@
     }
 
     private void scheduleHedge(BalancerDecision.Send first) {
-        if (!mHistory.mayHedge() || mDone) {
+        if (!mHistory.mayHedge() || mDone || mBody instanceof RequestBody.Streamed) {
             return;
         }
         long delay = HedgePolicy.delayNanos(first);
@@ -154,7 +157,9 @@
         if (mDone || !mPendingAttempts.isEmpty()) {
             return;
         }
-        if (result != SendResult.TIMED_OUT && mHistory.mayRetry(result, leftNanos())) {
+        if (result != SendResult.TIMED_OUT
+                && mBody.available()
+                && mHistory.mayRetry(result, leftNanos())) {
             if (place() instanceof BalancerDecision.Send send && spendRetryBudget(result)) {
                 mLog.retried(result.name());
                 send(send);
@@ -275,7 +280,8 @@
                 response.release();
                 return;
             }
-            if (result == SendResult.ANSWERED) {
+            // The time of a body that arrives meanwhile depends on the client.
+            if (result == SendResult.ANSWERED && mBody instanceof RequestBody.Held) {
                 mHandler.router().recordResponseTime(mRoute, mService, mPlacement, mSentNanos);
             }
             if (isForwarded(result)) {
@@ -293,7 +299,8 @@
         /** Returns whether another attempt may get a better response than the server's failure. */
         private boolean mayImprove() {
             return !mPendingAttempts.isEmpty()
-                    || (mHistory.mayRetry(SendResult.FAILED, leftNanos())
+                    || (mBody.available()
+                            && mHistory.mayRetry(SendResult.FAILED, leftNanos())
                             && place() instanceof BalancerDecision.Send);
         }
 
--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -5,6 +5,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.redwingladder.http.AsyncHttpClient;
 import org.redwingladder.http.BufferBudget;
 import org.redwingladder.http.BufferedResponse;
+import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseBodyWriter;
 import org.redwingladder.http.StreamedResponse;
 import org.redwingladder.request.ClientDisconnectDetector;
@@ -20,6 +22,7 @@
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
 import org.redwingladder.steering.SendResult;
+import org.xnio.IoUtils;
 
 /**
  * Receives client requests, matches them to routes and starts their forwarding; contains what all
@@ -197,30 +200,48 @@
 
     private void receiveBody(HttpServerExchange exchange, RoutedRequest request) {
         if (exchange.isRequestComplete()) {
-            forward(exchange, request, EMPTY);
+            forward(exchange, request, RequestBody.Held.of(EMPTY));
             return;
         }
-        // A body that arrives after the head is delivered in a call of its own. Undertow ends the
-        // exchange when that call returns, unless the further work is dispatched.
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (same, bytes) ->
-                                exchange.dispatch(
-                                        SameThreadExecutor.INSTANCE,
-                                        () -> forward(exchange, request, bytes)),
-                        (same, cause) -> {
-                            mLog.event("request", "body-lost")
-                                    .with("id", request.client().requestId())
-                                    .with("cause", cause)
-                                    .write();
-                            exchange.setPersistent(false);
-                            exchange.dispatch(
-                                    SameThreadExecutor.INSTANCE,
-                                    () -> respond(exchange, 413, "request body too large\n"));
-                        });
+        RequestBodyReader.read(
+                exchange,
+                mClientBodies,
+                RequestBodyReader.MAX_HELD_BYTES,
+                new BodyReceiver(exchange, request));
     }
 
-    private void forward(HttpServerExchange exchange, RoutedRequest request, byte[] body) {
+    /** Continues with a request when its body has been read. */
+    private final class BodyReceiver implements RequestBodyReader.Receiver {
+        private final HttpServerExchange mExchange;
+        private final RoutedRequest mRequest;
+
+        BodyReceiver(HttpServerExchange exchange, RoutedRequest request) {
+            mExchange = exchange;
+            mRequest = request;
+        }
+
+        @Override
+        public void received(RequestBody body) {
+            forward(mExchange, mRequest, body);
+        }
+
+        @Override
+        public void tooLarge() {
+            mExchange.setPersistent(false);
+            deny(mExchange, mRequest.client(), 413, "request body too large");
+        }
+
+        @Override
+        public void disconnected(IOException cause) {
+            mLog.event("request", "body-lost")
+                    .with("id", mRequest.client().requestId())
+                    .with("cause", cause)
+                    .write();
+            IoUtils.safeClose(mExchange.getConnection());
+        }
+    }
+
+    private void forward(HttpServerExchange exchange, RoutedRequest request, RequestBody body) {
         if (mStopping.getAsBoolean()) {
             exchange.setPersistent(false);
         }
@@ -231,11 +252,32 @@
         }
         ProxiedRequest proxied = new ProxiedRequest(this, exchange, request, body);
         mInFlight.add(proxied);
-        ClientDisconnectDetector.start(exchange).onDisconnect(proxied::clientDisconnected);
         ClientConnections.onClose(exchange, proxied::clientDisconnected);
+        switch (body) {
+            case RequestBody.Held held -> bodyEnded(exchange, proxied);
+            case RequestBody.Streamed streamed ->
+                    streamed.listener(
+                            new RequestBody.Streamed.SourceListener() {
+                                @Override
+                                public void ended() {
+                                    bodyEnded(exchange, proxied);
+                                }
+
+                                @Override
+                                public void failed(IOException cause) {
+                                    proxied.clientDisconnected();
+                                    IoUtils.safeClose(exchange.getConnection());
+                                }
+                            });
+        }
         proxied.start();
     }
 
+    private static void bodyEnded(HttpServerExchange exchange, ProxiedRequest proxied) {
+        ClientConnections.bodyReceived(exchange);
+        ClientDisconnectDetector.start(exchange).onDisconnect(proxied::clientDisconnected);
+    }
+
     /** Returns the path and query as the client encoded them. */
     private static String target(HttpServerExchange exchange) {
         String uri = exchange.getRequestURI();
--- a/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
@@ -3,6 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.CallRequest;
+import org.redwingladder.http.RequestBody;
 import org.redwingladder.steering.Backend;
 
 /** Builds the HTTP requests of the attempts of one client request. */
@@ -21,13 +22,13 @@
     private final ProxyHandler mHandler;
     private final HttpServerExchange mExchange;
     private final ProxyHandler.RoutedRequest mRequest;
-    private final byte[] mBody;
+    private final RequestBody mBody;
 
     ServerRequestBuilder(
             ProxyHandler handler,
             HttpServerExchange exchange,
             ProxyHandler.RoutedRequest request,
-            byte[] body) {
+            RequestBody body) {
         mHandler = handler;
         mExchange = exchange;
         mRequest = request;
@@ -54,7 +55,7 @@
                         request.headers(),
                         backend.registration().id(),
                         left);
-        if (mBody.length > 0 || mExchange.getRequestHeaders().contains("Content-Length")) {
+        if (mBody.length() != 0 || mExchange.getRequestHeaders().contains("Content-Length")) {
             request.body(mBody);
         }
         String id = mRequest.client().requestId();
--- a/http/src/main/java/org/redwingladder/http/CallRequest.java
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -19,7 +19,7 @@
     private final InetSocketAddress mAddress;
     private final long mDeadlineNanos;
     private final ClientRequest mRequest = new ClientRequest();
-    private byte @Nullable [] mBody;
+    private @Nullable RequestBody mBody;
     private @Nullable String mRequestId;
     private HttpString mRequestIdHeader = REQUEST_ID;
     private long mConnectDeadlineNanos;
@@ -56,8 +56,17 @@
 
     /** Sets the body and the Content-Length header. */
     public CallRequest body(byte[] body) {
-        mBody = body.length == 0 ? null : body;
-        mRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        return body(RequestBody.Held.of(body));
+    }
+
+    /** Sets the body and the header that tells its length. */
+    public CallRequest body(RequestBody body) {
+        mBody = body.length() == 0 ? null : body;
+        if (body.length() < 0) {
+            mRequest.getRequestHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        } else {
+            mRequest.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length());
+        }
         return this;
     }
 
@@ -133,7 +142,7 @@
         return mRequest;
     }
 
-    byte @Nullable [] body() {
+    @Nullable RequestBody body() {
         return mBody;
     }
 
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -34,6 +34,7 @@
     private @Nullable PooledConnection mConnection;
     private XnioExecutor.@Nullable Key mTimer;
     private @Nullable ByteBuffer mUnsentBody;
+    private @Nullable RequestBodyStream mBodyStream;
     private Consumer<CallException> mFailureListener;
     private Runnable mEndListener = () -> {};
 
@@ -138,8 +139,10 @@
         if (!headers.contains(Headers.HOST)) {
             headers.put(Headers.HOST, Addresses.format(mRequest.address()));
         }
-        byte[] body = mRequest.body();
-        mUnsentBody = body == null ? null : ByteBuffer.wrap(body);
+        mUnsentBody =
+                mRequest.body() instanceof RequestBody.Held held
+                        ? ByteBuffer.wrap(held.bytes())
+                        : null;
         mIdleNanos = connection.idleNanos(System.nanoTime());
         mSent = true;
         connection.source().startResponse(Methods.HEAD.equals(mRequest.request().getMethod()));
@@ -163,6 +166,9 @@
                 });
         if (mUnsentBody != null) {
             writeBody(exchange.getRequestChannel());
+        } else if (mRequest.body() instanceof RequestBody.Streamed streamed && !mDone) {
+            mBodyStream = new RequestBodyStream(this, streamed, exchange.getRequestChannel());
+            mBodyStream.start();
         }
     }
 
@@ -202,6 +208,11 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
+        if (mBodyStream != null && !mBodyStream.sent()) {
+            // The server may answer early; the rest of the body must not reach it in any form.
+            mBodyStream.stop();
+            connection.closeAfterResponse();
+        }
         BodyFraming framing = connection.source().framing();
         String protocolViolation = protocolViolation(response, framing);
         if (protocolViolation != null) {
@@ -291,6 +302,9 @@
             return false;
         }
         mDone = true;
+        if (mBodyStream != null) {
+            mBodyStream.stop();
+        }
         mEndListener.run();
         if (mTimer != null) {
             mTimer.remove();
--- a/http/src/main/java/org/redwingladder/http/PooledConnection.java
+++ b/http/src/main/java/org/redwingladder/http/PooledConnection.java
@@ -29,6 +29,7 @@
     private volatile boolean mUsed;
     private volatile boolean mExpires;
     private volatile long mExpiresNanos;
+    private boolean mCloseAfterResponse;
 
     PooledConnection(
             ClientConnection connection, ResponseSourceConduit source, ConnectionPool pool) {
@@ -79,9 +80,16 @@
         release();
     }
 
+    /** Closes the connection instead of returning it to its pool. */
+    void closeAfterResponse() {
+        mCloseAfterResponse = true;
+    }
+
     /** Returns the connection to its pool. */
     void release() {
-        if (isOpen()) {
+        if (mCloseAfterResponse) {
+            close();
+        } else if (isOpen()) {
             mIdleSince = System.nanoTime();
             mUsed = true;
             mPool.release(this);
