Bound the memory of messages of other hosts

Callers saw: 40 connections to the port of the other hosts that state a body of 64 MiB ended a host for lack of memory.

Cause: a message was received in a buffer of the stated length.

Change: PeerMessageReader holds at most 4 MB of one message and 8 MB of all, as they arrive; what exceeds that gets 503 and is sent again by its host.

--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,7 @@
     private final RateLimits mRateLimits;
     private final RateLimitGossip mRateLimitGossip;
     private final PeerClient mPeers;
+    private final PeerMessageReader mMessages = new PeerMessageReader();
     private final XnioIoThread mThread;
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
@@ -312,8 +314,11 @@
         if (path.equals(METRICS)) {
             Responses.text(exchange, 200, MetricsFormatter.toPrometheusText(mMetrics.registry()));
         } else if (PEER_PATHS.contains(path)) {
-            exchange.getRequestReceiver()
-                    .receiveFullBytes((same, body) -> handleMessage(exchange, path, body));
+            exchange.dispatch(
+                    SameThreadExecutor.INSTANCE,
+                    () ->
+                            mMessages.read(
+                                    exchange, (same, body) -> handleMessage(same, path, body)));
         } else {
             Responses.text(exchange, 404, "unknown path; allowed: " + METRICS + "\n");
         }
