--- a/core/src/main/java/org/redwingladder/limits/TransferAllowance.java
+++ b/core/src/main/java/org/redwingladder/limits/TransferAllowance.java
@@ -6,8 +6,8 @@
  * in which the host does not wait for the client does not count. Not thread-safe.
  */
 public final class TransferAllowance {
-    /** The longest time without a byte. */
-    public static final long MAX_WAIT_NANOS = 10_000_000_000L;
+    /** The longest time without a byte; exceeds the time that clients wait for a response. */
+    public static final long MAX_WAIT_NANOS = 15_000_000_000L;
 
     /** The lowest rate of a longer transfer. */
     public static final long MIN_BYTES_PER_SECOND = 16 << 10;
--- a/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ClientConnections.java
@@ -32,7 +32,7 @@
     private final XnioIoThread mThread;
     private final EventLog mLog;
     private final EntryMetrics mMetrics;
-    private boolean mClosed;
+    private volatile boolean mStopped;
 
     private record Tracked(ClientConnections connections, ClientConnection connection) {}
 
@@ -52,12 +52,13 @@
 
     /** Starts the check for clients that are too slow. */
     void start() {
+        mStopped = false;
         mThread.executeAfter(this::closeSlow, CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends the check for clients that are too slow. */
     void stop() {
-        mClosed = true;
+        mStopped = true;
     }
 
     /** Returns a listener that admits accepted connections before {@code next} handles them. */
@@ -109,7 +110,7 @@
     }
 
     private void closeSlow() {
-        if (mClosed) {
+        if (mStopped) {
             return;
         }
         long now = System.nanoTime();
