Test the limits of a listener without a process

HttpListenerTest$Limits: a connection without a request yields to a new one, and the 17th request sent ahead ends its connection.

--- a/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/HttpListenerTest.java
@@ -101,6 +101,41 @@
         }
     }
 
+    @Nested
+    class Limits {
+        private Socket open() throws IOException {
+            Socket socket = new Socket();
+            mSockets.add(socket);
+            socket.connect(mAddress, 1_000);
+            socket.setSoTimeout(10_000);
+            return socket;
+        }
+
+        /** A client that connects and sends nothing must not keep another one out. */
+        @Test
+        void closeAConnectionWithoutARequestForANewOne() throws Exception {
+            for (int i = 0; i < CONNECTIONS; i++) {
+                open();
+            }
+            Socket last = open();
+            last.getOutputStream().write(REQUEST.getBytes(ISO_8859_1));
+            String response = new String(last.getInputStream().readAllBytes(), ISO_8859_1);
+            assertThat(response).endsWith("served");
+            assertThat(mSockets.get(0).getInputStream().read()).isNegative();
+        }
+
+        @Test
+        void endAConnectionAfterManyRequestsThatWereSentAhead() throws Exception {
+            Socket socket = open();
+            String request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+            socket.getOutputStream().write(request.repeat(40).getBytes(ISO_8859_1));
+            String responses = new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+            assertThat(responses.split("served", -1))
+                    .hasSize(ClientConnections.MAX_PIPELINED_REQUESTS + 2);
+            assertThat(responses.split("Connection: close", -1)).hasSize(2);
+        }
+    }
+
     private void connect() throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(mAddress, 1_000);
