Log bodies that end early while they are passed on

Cause: found while reading the change: the error of a client that leaves, or exceeds the limit of the settings, within a body that is passed on was dropped without a line; one whose body is held has a line body-lost.

LargeRequestBodyTest and RequestExplainTest pass.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -233,11 +233,7 @@
 
         @Override
         public void disconnected(IOException cause) {
-            mLog.event("request", "body-lost")
-                    .with("id", mRequest.client().requestId())
-                    .with("cause", cause)
-                    .write();
-            IoUtils.safeClose(mExchange.getConnection());
+            bodyLost(mExchange, mRequest, cause);
         }
     }
 
@@ -266,13 +262,22 @@
                                 @Override
                                 public void failed(IOException cause) {
                                     proxied.clientDisconnected();
-                                    IoUtils.safeClose(exchange.getConnection());
+                                    bodyLost(exchange, request, cause);
                                 }
                             });
         }
         proxied.start();
     }
 
+    /** Closes the connection of a client that left or exceeded a limit within its body. */
+    private void bodyLost(HttpServerExchange exchange, RoutedRequest request, IOException cause) {
+        mLog.event("request", "body-lost")
+                .with("id", request.client().requestId())
+                .with("cause", cause)
+                .write();
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
     private static void bodyEnded(HttpServerExchange exchange, ProxiedRequest proxied) {
         ClientConnections.bodyReceived(exchange);
         ClientDisconnectDetector.start(exchange).onDisconnect(proxied::clientDisconnected);
