--- a/review/java-2/Client.java
+++ b/review/java-2/Client.java
@@ -69,6 +69,33 @@
         mStopped = true;
     }
 
+    /** Sends an order with the given framing and returns the status lines of what comes back. */
+    static String raw(Host host, String id, String framing, String body) throws IOException {
+        StringBuilder answers = new StringBuilder();
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), host.clients)) {
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout(1_000);
+            String head =
+                    "POST /orders/outer HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: "
+                            + id
+                            + "\r\nDeadline-Ms: 2500\r\n"
+                            + framing
+                            + "\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.ISO_8859_1));
+            for (int i = 0; i < 2; i++) {
+                Http.Message answer = Http.read(socket.getInputStream());
+                if (answer == null) {
+                    return answers + "end";
+                }
+                answers.append(answer.start()).append(" (").append(answer.header("Request-Id"));
+                answers.append("); ");
+            }
+        } catch (IOException e) {
+            answers.append(e.getMessage());
+        }
+        return answers.toString();
+    }
+
     Call call(String method, String path, long deadlineMillis) {
         String id = String.format("%016x", 0x5eed0000L + IDS.incrementAndGet());
         Call call = new Call(id, mHost, path, mRecord.now());
--- a/review/java-2/Main.java
+++ b/review/java-2/Main.java
@@ -65,6 +65,7 @@
                         case "drill" -> main.drill();
                         case "readers" -> main.readers();
                         case "leaving" -> main.leaving();
+                        case "hidden" -> main.hidden();
                         case "entries" -> main.entries();
                         default -> throw new IllegalArgumentException(arguments[2]);
                     };
@@ -307,6 +308,52 @@
         return old;
     }
 
+    /** Clients hide a request in the body of another, whose framing is not valid. */
+    private int hidden() throws IOException {
+        regionOfZone.putAll(Map.of("z1", "r1", "z2", "r1"));
+        settings(7, "desk");
+        for (int i = 1; i <= 2; i++) {
+            host("h" + i, "z" + i);
+            worker("w" + i, "desk", "z" + i, 50);
+        }
+        startHosts();
+        for (Host host : hosts) {
+            client(host).start("POST", "/orders/a", 60, 2_500);
+        }
+        sleep(3_000);
+        requireService();
+        List<String> hidden = new ArrayList<>();
+        List<String> codings = List.of("xchunked", "chunked;q=1", "");
+        for (int i = 0; i < 30; i++) {
+            String id = String.format("%016x", 0xabcd0000L + i);
+            hidden.add(id);
+            String body =
+                    "0\r\n\r\nPOST /orders/hidden HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: "
+                            + id
+                            + "\r\nDeadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n";
+            String framing =
+                    trouble
+                            ? "Transfer-Encoding: " + codings.get(i % codings.size()) + "\r\n"
+                            : "Content-Length: " + body.length() + "\r\n";
+            String outer = String.format("%016x", 0xdcba0000L + i);
+            String answers = Client.raw(hosts.get(i % 2), outer, framing, body);
+            record.line("%s with %s got %s", outer, framing.strip(), answers);
+            sleep(100);
+        }
+        stopClients();
+        long run = 0;
+        for (Worker worker : workers) {
+            for (Worker.Arrival arrival : worker.arrivals) {
+                if (arrival.run && hidden.contains(arrival.id)) {
+                    record.line("%s ran %s, which was text in the body of another", worker.id, arrival.id);
+                    run++;
+                }
+            }
+        }
+        record.tell("%d of %d requests hidden in bodies were run", run, hidden.size());
+        return run > 0 ? 1 : 0;
+    }
+
     /** Another writer leaves entries that can't be read among those of the workers. */
     private int entries() throws IOException {
         threeRegions(3);
