--- a/review/java-2/Main.java
+++ b/review/java-2/Main.java
@@ -198,13 +198,13 @@
         return late;
     }
 
-    private void threeRegions(int workersPerZone) throws IOException {
+    private void threeRegions(int workersPerZone, long workMillis) throws IOException {
         regionOfZone.putAll(Map.of("z1", "r1", "z2", "r2", "z3", "r3"));
         settings(7, "desk");
         for (int i = 1; i <= 3; i++) {
             host("h" + i, "z" + i);
             for (int j = 0; j < workersPerZone; j++) {
-                worker("w" + (workersPerZone * (i - 1) + j + 1), "desk", "z" + i, 150);
+                worker("w" + (workersPerZone * (i - 1) + j + 1), "desk", "z" + i, workMillis);
             }
         }
     }
@@ -212,10 +212,10 @@
     /** The store comes back from a copy; later a worker leaves. */
     private int drill() throws IOException {
         long ageMillis = Long.parseLong(System.getenv().getOrDefault("AGE_MS", "8000"));
-        threeRegions(2);
+        threeRegions(3, 400);
         startHosts();
         for (Host host : hosts) {
-            client(host).start("POST", "/orders/a", 40, 2_500);
+            client(host).start("POST", "/orders/a", 50, 2_500);
         }
         sleep(3_000);
         requireService();
@@ -230,8 +230,9 @@
             sleep(ageMillis + 1_000);
         }
         sleep(CONTACT_MILLIS + 200);
-        Worker leaving = workers.get(0);
-        leaving.leave(DRAIN_MILLIS + 1_500);
+        Worker leaving =
+                workers.stream().max(Comparator.comparing(w -> w.arrivals.size())).orElseThrow();
+        leaving.leave(DRAIN_MILLIS + 700);
         sleep(DRAIN_MILLIS + 4_000);
         stopClients();
         lostRuns(leaving);
@@ -356,7 +357,7 @@
 
     /** Another writer leaves entries that can't be read among those of the workers. */
     private int entries() throws IOException {
-        threeRegions(3);
+        threeRegions(3, 150);
         startHosts();
         for (Host host : hosts) {
             client(host).start("POST", "/orders/a", 25, 2_500);
