--- a/review/java-2/Client.java
+++ b/review/java-2/Client.java
@@ -72,7 +72,7 @@
     /** Sends an order with the given framing and returns the status lines of what comes back. */
     static String raw(Host host, String id, String framing, String body) throws IOException {
         StringBuilder answers = new StringBuilder();
-        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), host.clients)) {
+        try (Socket socket = new Socket(InetAddress.getByName(Host.ADDRESS), host.clients)) {
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(1_000);
             String head =
@@ -109,7 +109,7 @@
                 socket = new Socket();
                 socket.setTcpNoDelay(true);
                 socket.connect(
-                        new InetSocketAddress(InetAddress.getByName("127.0.0.1"), mHost.clients),
+                        new InetSocketAddress(InetAddress.getByName(Host.ADDRESS), mHost.clients),
                         1_000);
             }
             socket.setSoTimeout((int) deadlineMillis + 1_000);
--- a/review/java-2/Host.java
+++ b/review/java-2/Host.java
@@ -19,6 +19,14 @@
 
 /** A process of role entry, with the command and the template of the deploy file. */
 final class Host {
+    /** A loopback address of its own, so that runs beside each other share no ports. */
+    static final String ADDRESS =
+            "127."
+                    + ThreadLocalRandom.current().nextInt(1, 250)
+                    + "."
+                    + ThreadLocalRandom.current().nextInt(1, 250)
+                    + ".1";
+
     private static final Set<Integer> USED = new HashSet<>();
 
     final String name;
@@ -49,7 +57,7 @@
             int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
             if (USED.add(port)) {
                 try (ServerSocket socket =
-                        new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                        new ServerSocket(port, 1, InetAddress.getByName(ADDRESS))) {
                     return socket.getLocalPort();
                 } catch (IOException e) {
                     // Another process uses the port.
@@ -59,7 +67,7 @@
     }
 
     String peerAddress() {
-        return "127.0.0.1:" + peers;
+        return ADDRESS + ":" + peers;
     }
 
     void start(Map<String, String> regionOfZone, List<String> seeds) throws IOException {
@@ -68,9 +76,9 @@
         values.put("node", Json.quote(name));
         values.put("zone", Json.quote(zone));
         values.put("zones", object(regionOfZone));
-        values.put("listen.front", Json.quote("127.0.0.1:" + clients));
-        values.put("listen.ready", Json.quote("127.0.0.1:" + readiness));
-        values.put("listen.directory", Json.quote("127.0.0.1:" + lookups));
+        values.put("listen.front", Json.quote(ADDRESS + ":" + clients));
+        values.put("listen.ready", Json.quote(ADDRESS + ":" + readiness));
+        values.put("listen.directory", Json.quote(ADDRESS + ":" + lookups));
         values.put("listen.control", Json.quote(peerAddress()));
         values.put("seeds", "[" + String.join(",", seeds.stream().map(Json::quote).toList()) + "]");
         values.put("provider.addr", Json.quote(store.address()));
@@ -123,7 +131,7 @@
         try {
             HttpURLConnection call =
                     (HttpURLConnection)
-                            URI.create("http://127.0.0.1:" + readiness + "/-/readyz")
+                            URI.create("http://" + ADDRESS + ":" + readiness + "/-/readyz")
                                     .toURL()
                                     .openConnection();
             call.setConnectTimeout(500);
--- a/review/java-2/Main.java
+++ b/review/java-2/Main.java
@@ -243,8 +243,10 @@
     private int readers() throws IOException {
         regionOfZone.putAll(Map.of("z1", "r1", "z2", "r2", "z3", "r3"));
         settings(7, "desk");
-        for (int i = 1; i <= 9; i++) {
+        for (int i = 1; i <= 12; i++) {
             host("h" + i, "z" + (i % 3 + 1));
+        }
+        for (int i = 1; i <= 9; i++) {
             worker("d" + i, "desk", "z" + (i % 3 + 1), 150);
             worker("c" + i, "catalog", "z" + (i % 3 + 1), 150);
         }
