Log the store's era, readings of whole tables and delays of the I/O thread

The logs could not tell the hypotheses of docs/incidents/outdated-tables.md apart: history-lost had neither position nor era, a reading that was taken over left no line, and nothing told whether a host had processor time.

Added: StoreVersion, which carries the era that the store states beside the version; position and era in history-lost; table-read with position, era and rows; whether a reading is out when a host begins or ends to follow the store; host delayed (EventLoopMonitor). No decision reads them.

--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -197,6 +197,7 @@
                     mRegistration.start(store, this::nextSelfEntry);
                     mThread.executeAfter(
                             this::runPeriodicTasks, PERIODIC_TASKS_MILLIS, TimeUnit.MILLISECONDS);
+                    new EventLoopMonitor(mThread, mLog, mMetrics).start();
                 });
         mLog.event("host", "started")
                 .with("zone", mConfig.zone())
--- a/daemon/src/main/java/org/redwingladder/entry/StoreException.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreException.java
@@ -17,15 +17,27 @@
     }
 
     private final Reason mReason;
+    private final long mEra;
 
     /** Creates an exception with the reason and a message with the details. */
     public StoreException(Reason reason, String message) {
+        this(reason, message, 0);
+    }
+
+    /** Creates an exception for a response of the store that states an era. */
+    public StoreException(Reason reason, String message, long era) {
         super(message);
         mReason = reason;
+        mEra = era;
     }
 
     /** Returns why the call failed. */
     public Reason reason() {
         return mReason;
     }
+
+    /** Returns the era that the store's response states, 0 if there is none. */
+    public long era() {
+        return mEra;
+    }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -44,6 +44,8 @@
     private boolean mWatching;
     private boolean mLastFailed;
     private boolean mTableRead;
+    private boolean mReading;
+    private long mPolledPosition;
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
@@ -103,6 +105,7 @@
                 .with("table", mTable)
                 .with("position", position)
                 .with("lastFailed", mLastFailed)
+                .with("reading", mReading)
                 .write();
         if (!watching) {
             if (mTableRead) {
@@ -118,6 +121,7 @@
     /** Resets the result of the last call too, which becomes stale without further calls. */
     private void disableWatch() {
         mGeneration++;
+        mReading = false;
         if (mRetry != null) {
             mRetry.remove();
             mRetry = null;
@@ -132,6 +136,7 @@
     void readTable() {
         long generation = ++mGeneration;
         mRetry = null;
+        mReading = true;
         mStore.readTable(
                 mTable,
                 System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
@@ -156,6 +161,8 @@
             mRetry = null;
         }
         long generation = ++mGeneration;
+        mReading = false;
+        mPolledPosition = position;
         mStore.pollChanges(
                 mTable,
                 position,
@@ -207,15 +214,16 @@
             if (mCallGeneration != mGeneration || mStopped) {
                 return;
             }
+            mReading = false;
             recordSuccess();
+            long position = read.position().number();
             try {
                 if (!mSnapshot) {
-                    mListener.apply(mTable, read.rows(), read.position());
-                } else if (!mListener.replace(mTable, read.rows(), read.position())) {
-                    mLog.event("store", "stale-read")
-                            .with("table", mTable)
-                            .with("position", read.position())
-                            .write();
+                    mListener.apply(mTable, read.rows(), position);
+                } else if (mListener.replace(mTable, read.rows(), position)) {
+                    logRead("table-read", read);
+                } else {
+                    logRead("stale-read", read);
                     scheduleRetry();
                     return;
                 }
@@ -223,14 +231,23 @@
                 // The watch must go on: later changes may be removals of servers.
                 mLog.event("store", "delivery-failed")
                         .with("table", mTable)
-                        .with("position", read.position())
+                        .with("position", position)
                         .with("cause", e)
                         .write();
                 mBackOffMillis = MAX_BACK_OFF_MILLIS;
                 scheduleRetry();
                 return;
             }
-            scheduleWatch(read.position());
+            scheduleWatch(position);
+        }
+
+        private void logRead(String event, VersionedRows read) {
+            mLog.event("store", event)
+                    .with("table", mTable)
+                    .with("position", read.position().number())
+                    .with("era", read.position().era())
+                    .with("rows", read.rows().size())
+                    .write();
         }
 
         @Override
@@ -238,9 +255,14 @@
             if (mCallGeneration != mGeneration || mStopped) {
                 return;
             }
+            mReading = false;
             if (cause.reason() == StoreException.Reason.HISTORY_LOST) {
                 mLastFailed = false;
-                mLog.event("store", "history-lost").with("table", mTable).write();
+                mLog.event("store", "history-lost")
+                        .with("table", mTable)
+                        .with("position", mPolledPosition)
+                        .with("era", cause.era())
+                        .write();
                 readTable();
                 return;
             }
--- a/daemon/src/test/java/org/redwingladder/entry/ScriptedStoreClient.java
+++ b/daemon/src/test/java/org/redwingladder/entry/ScriptedStoreClient.java
@@ -43,12 +43,14 @@
 
     /** Completes the pending read of a table. */
     void completeRead(StoreTable table, long position, StoreRow... rows) {
-        mReads.remove(table).succeeded(new VersionedRows(List.of(rows), position));
+        mReads.remove(table)
+                .succeeded(new VersionedRows(List.of(rows), new StoreVersion(0, position)));
     }
 
     /** Completes the pending long poll for changes of a table. */
     void completePoll(StoreTable table, long position, StoreRow... rows) {
-        mPolls.remove(table).succeeded(new VersionedRows(List.of(rows), position));
+        mPolls.remove(table)
+                .succeeded(new VersionedRows(List.of(rows), new StoreVersion(0, position)));
     }
 
     /** Fails the pending long poll for changes of a table. */
