Retain a lapsed registration only until the end of its own grace period

Cause: RegistrationGracePeriod kept one end for all retained servers and moved it whenever another host recovered or told of its own recovery.

Each retained registration now has a deadline of its own, set when it lapses: the end of the grace period of that moment, 2 s at most. The new test failed before (assertion at its first line, with the release time of before).

--- a/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
+++ b/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
@@ -11,9 +11,10 @@
  * <p>Registrations expire while servers cannot reach the store. Running servers register again
  * within about two seconds of the store's recovery; removing their registrations immediately would
  * leave services without any server. A grace period starts only when this host observes the end of
- * an outage, or when a peer reports its own grace period, and it never lasts longer. A host whose
- * calls the store rejects starts none, because its peers report which servers left. Not
- * thread-safe.
+ * an outage, or when a peer reports its own grace period. A host whose calls the store rejects
+ * starts none, because these report which servers left. A registration is retained until the end of
+ * the grace period in which it expired; a later period, such as that of a host which recovers
+ * later, does not prolong it. Not thread-safe.
  */
 public final class RegistrationGracePeriod {
     /** Time after the store's recovery within which running servers register again. */
@@ -23,11 +24,13 @@
     private static final int CONSECUTIVE_FAILURES_OF_OUTAGE = 2;
 
     private final Map<String, ServerRegistration> mRegistered = new HashMap<>();
-    private final Map<String, ServerRegistration> mRetained = new HashMap<>();
+    private final Map<String, RetainedRegistration> mRetained = new HashMap<>();
     private int mConsecutiveFailures;
     private long mEndNanos;
     private boolean mActive;
 
+    private record RetainedRegistration(ServerRegistration registration, long untilNanos) {}
+
     private RegistrationGracePeriod() {}
 
     /** Creates an inactive grace period without registrations. */
@@ -81,7 +84,7 @@
             mRegistered.forEach(
                     (id, entry) -> {
                         if (!registered.containsKey(id) && !entry.draining()) {
-                            mRetained.put(id, entry);
+                            mRetained.put(id, new RetainedRegistration(entry, mEndNanos));
                         }
                     });
         }
@@ -93,14 +96,20 @@
 
     /** Returns the registered servers, and the retained ones while the grace period lasts. */
     public Map<String, ServerRegistration> effectiveRegistrations(long nowNanos) {
-        if (!isActive(nowNanos)) {
-            mRetained.clear();
-        }
-        Map<String, ServerRegistration> all = new HashMap<>(mRetained);
-        all.putAll(mRegistered);
+        mRetained.values().removeIf(retained -> nowNanos - retained.untilNanos() >= 0);
+        Map<String, ServerRegistration> all = new HashMap<>(mRegistered);
+        mRetained.forEach((id, retained) -> all.put(id, retained.registration()));
         return all;
     }
 
+    /** Returns the time until the first retained registration is dropped; 0 if none is retained. */
+    public long nanosUntilRelease(long nowNanos) {
+        return mRetained.values().stream()
+                .mapToLong(retained -> Math.max(0, retained.untilNanos() - nowNanos))
+                .min()
+                .orElse(0);
+    }
+
     /** Returns whether any expired registration is retained. */
     public boolean hasRetained() {
         return !mRetained.isEmpty();
--- a/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
+++ b/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
@@ -58,6 +58,18 @@
             assertThat(mGracePeriod.update(Map.of("s1", registration("s1", false)), 4 * SECOND))
                     .containsOnlyKeys("s1");
         }
+
+        /** Hosts return one after the other; a server that left was retained until the last one. */
+        @Test
+        void retainsNothingLongerBecauseAnotherHostRecovers() {
+            mGracePeriod.update(mBoth, 0);
+            recordOutage();
+            mGracePeriod.recordStoreSuccess(10 * SECOND);
+            mGracePeriod.update(Map.of("s2", registration("s2", false)), 10 * SECOND);
+            mGracePeriod.extendFromPeer(2 * SECOND, 11 * SECOND);
+            assertThat(mGracePeriod.nanosUntilRelease(11 * SECOND)).isEqualTo(SECOND);
+            assertThat(mGracePeriod.effectiveRegistrations(12 * SECOND)).containsOnlyKeys("s2");
+        }
     }
 
     @Nested
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -313,7 +313,7 @@
             mReleaseScheduled = true;
             mThread.executeAfter(
                     this::releaseHeldServers,
-                    mHold.remainingNanos(System.nanoTime()) + 1,
+                    mHold.nanosUntilRelease(System.nanoTime()) + 1,
                     TimeUnit.NANOSECONDS);
         }
     }
