Hold no servers because the store turned this host alone away

Callers saw requests at servers that had left up to 2 s before, on hosts to which the store had answered all the while.

Cause: two failed calls of one host counted as an outage of the store, after which registrations that lapse are held for 2 s.

A host now remembers that other hosts, without a grace period of their own, pushed news of the store while its own calls failed. If one did so 1.5 to 3 s before the recovery, when no host can have recovered from an outage yet, no grace period begins.

Tests that failed before: rejectionOfThisHostAloneRetainsNothing, areDroppedAtOnceByHostThatTheStoreRejectedAlone.

--- a/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
+++ b/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
@@ -1,5 +1,7 @@
 package org.redwingladder.steering;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -12,9 +14,9 @@
  * within about two seconds of the store's recovery; removing their registrations immediately would
  * leave services without any server. A grace period starts only when this host observes the end of
  * an outage, or when a peer reports its own grace period. A host whose calls the store rejects
- * starts none, because these report which servers left. A registration is retained until the end of
- * the grace period in which it expired; a later period, such as that of a host which recovers
- * later, does not prolong it. Not thread-safe.
+ * while it serves other hosts starts none, because these report which servers left. A registration
+ * is retained until the end of the grace period in which it expired; a later period, such as that
+ * of a host which recovers later, does not prolong it. Not thread-safe.
  */
 public final class RegistrationGracePeriod {
     /** Time after the store's recovery within which running servers register again. */
@@ -23,11 +25,23 @@
     /** A single failed call may be a broken connection; in an outage the next call fails too. */
     private static final int CONSECUTIVE_FAILURES_OF_OUTAGE = 2;
 
+    /**
+     * Registrations expire after several seconds without the store, and hosts recover within this
+     * time of each other. If the store served another host in the time before, there was no outage.
+     */
+    private static final long RECOVERY_SPREAD_NANOS = 1_500_000_000L;
+
+    private static final long SERVICE_MEMORY_NANOS = 2 * RECOVERY_SPREAD_NANOS;
+
+    /** The resolution at which service to other hosts is remembered. */
+    private static final long SERVICE_RESOLUTION_NANOS = 100_000_000L;
+
     private final Map<String, ServerRegistration> mRegistered = new HashMap<>();
     private final Map<String, RetainedRegistration> mRetained = new HashMap<>();
     private int mConsecutiveFailures;
     private long mEndNanos;
     private boolean mActive;
+    private final Deque<Long> mServiceToOthersNanos = new ArrayDeque<>();
 
     private record RetainedRegistration(ServerRegistration registration, long untilNanos) {}
 
@@ -48,9 +62,30 @@
         mConsecutiveFailures = 0;
     }
 
+    /** Records that a peer without a grace period forwards what the store has just told it. */
+    public void recordServiceToOthers(long nowNanos) {
+        Long last = mServiceToOthersNanos.peekLast();
+        if (last == null || nowNanos - last >= SERVICE_RESOLUTION_NANOS) {
+            mServiceToOthersNanos.addLast(nowNanos);
+        }
+        forgetService(nowNanos);
+    }
+
+    private void forgetService(long nowNanos) {
+        mServiceToOthersNanos.removeIf(served -> nowNanos - served > SERVICE_MEMORY_NANOS);
+    }
+
+    /** Returns whether the store served others when no host can have recovered from an outage. */
+    private boolean servedOthersThroughout(long nowNanos) {
+        forgetService(nowNanos);
+        Long first = mServiceToOthersNanos.peekFirst();
+        return first != null && nowNanos - first >= RECOVERY_SPREAD_NANOS;
+    }
+
     /** Records a successful call to the store, which starts a grace period after an outage. */
     public void recordStoreSuccess(long nowNanos) {
-        if (mConsecutiveFailures >= CONSECUTIVE_FAILURES_OF_OUTAGE) {
+        if (mConsecutiveFailures >= CONSECUTIVE_FAILURES_OF_OUTAGE
+                && !servedOthersThroughout(nowNanos)) {
             extend(GRACE_NANOS, nowNanos);
         }
         mConsecutiveFailures = 0;
--- a/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
+++ b/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
@@ -70,6 +70,24 @@
             assertThat(mGracePeriod.nanosUntilRelease(11 * SECOND)).isEqualTo(SECOND);
             assertThat(mGracePeriod.effectiveRegistrations(12 * SECOND)).containsOnlyKeys("s2");
         }
+
+        @Test
+        void retainsRegistrationsIfOtherHostsWereServedOnlyBefore() {
+            mGracePeriod.update(mBoth, 0);
+            mGracePeriod.recordServiceToOthers(SECOND);
+            recordOutage();
+            mGracePeriod.recordStoreSuccess(10 * SECOND);
+            assertThat(mGracePeriod.update(Map.of(), 10 * SECOND)).containsOnlyKeys("s1", "s2");
+        }
+
+        @Test
+        void retainsRegistrationsIfAnotherHostRecoversFirst() {
+            mGracePeriod.update(mBoth, 0);
+            recordOutage();
+            mGracePeriod.recordServiceToOthers(9 * SECOND);
+            mGracePeriod.recordStoreSuccess(10 * SECOND);
+            assertThat(mGracePeriod.update(Map.of(), 10 * SECOND)).containsOnlyKeys("s1", "s2");
+        }
     }
 
     @Nested
@@ -83,6 +101,16 @@
             assertThat(mGracePeriod.update(Map.of(), SECOND)).isEmpty();
         }
 
+        /** Registrations do not lapse while the store serves the servers and other hosts. */
+        @Test
+        void rejectionOfThisHostAloneRetainsNothing() {
+            mGracePeriod.update(mBoth, 0);
+            recordOutage();
+            mGracePeriod.recordServiceToOthers(8 * SECOND);
+            mGracePeriod.recordStoreSuccess(10 * SECOND);
+            assertThat(mGracePeriod.update(Map.of(), 10 * SECOND)).isEmpty();
+        }
+
         /** Updates from peers that reach the store show that the servers left. */
         @Test
         void failuresWithoutRecoveryRetainNothing() {
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -161,6 +161,9 @@
         }
         if (replica.position() < changes.position()) {
             extendHold(changes.holdMillis());
+            if (changes.table() == StoreTable.SERVERS && changes.holdMillis() == 0) {
+                mHold.recordServiceToOthers(System.nanoTime());
+            }
             replica.apply(changes.rows(), changes.position());
             decodeTable(changes.table(), Source.PUSH);
         }
--- a/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -82,6 +83,37 @@
             awaitServers("s2");
         }
 
+        @Test
+        void areDroppedAtOnceByHostThatTheStoreRejectedAlone() throws Exception {
+            fail(StoreException.Reason.REFUSED);
+            awaitRead();
+            mThread.run(() -> mStore.failRead(StoreTable.SERVERS, StoreException.Reason.REFUSED));
+            awaitRead();
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+            long position = 10;
+            while (System.nanoTime() - until < 0) {
+                pushOther(position++);
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+            long last = position + 1;
+            mThread.run(
+                    () ->
+                            mStore.completeRead(
+                                    StoreTable.SERVERS, last, TestRowDecoder.ready("s2", 2)));
+            assertThat(mServers).containsExactly("s2");
+        }
+
+        private void pushOther(long after) throws Exception {
+            PeerMessages.TableChanges changes =
+                    new PeerMessages.TableChanges(
+                            StoreTable.SERVERS,
+                            after,
+                            after + 1,
+                            0,
+                            List.of(TestRowDecoder.removed("s3", after + 1)));
+            assertThat(mThread.call(() -> mReplica.applyPushed(changes))).isTrue();
+        }
+
         @Test
         void areNotHeldAfterSingleFailedCall() throws Exception {
             fail(StoreException.Reason.NO_ANSWER);
