Look for the end of a pooled connection before a request is sent on it

What callers saw: 502 (LOST) for a request that must not be repeated, if its server had closed or reset the idle connection before, without having said so.

Cause: a pooled connection counted as open until its I/O thread had read the end.

Change: a call reads the connection without blocking before it sends on it. If that yields an end, an error or bytes, the call opens a new connection on the same thread, within the pool's limit and its connect deadline. This is safe for any request, because nothing of it was sent. The same applies if the connection was closed between the choice and the start of the call; that failed as refused by the server before.

Bytes that arrived between two responses no longer count as the beginning of the next one.

Not covered: an end that arrives after the request was sent. The server may have run such a request, so that it stays LOST.

--- a/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
+++ b/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
@@ -26,7 +26,8 @@
  *
  * <p>Each connection carries one call at a time and belongs to one I/O thread. A call that starts
  * on an I/O thread of the client's worker prefers a connection of the same thread, which avoids a
- * thread switch. A connection is reused only if its response was complete and no bytes followed it.
+ * thread switch. A connection is reused only if its response was complete and nothing followed it,
+ * neither bytes nor its end; else the call opens a new one.
  */
 public final class AsyncHttpClient implements AutoCloseable {
     private static final OptionMap CONNECTION_OPTIONS =
@@ -91,28 +92,36 @@
         XnioIoThread preferred =
                 current != null && current.getWorker() == mWorker ? current : mWorker.getIoThread();
         ClientCall call = new ClientCall(this, request, handler);
+        PooledConnection idle =
+                mClosed ? null : pool(request.address()).acquire(preferred, request.maxIdleNanos());
+        if (idle != null) {
+            call.useConnection(idle);
+        } else {
+            connect(call, preferred);
+        }
+        return call;
+    }
+
+    /** Opens a connection for {@code call} on {@code thread}, or fails the call at the limit. */
+    void connect(ClientCall call, XnioIoThread thread) {
         if (mClosed) {
-            handler.failed(
+            call.failWith(
                     new NotSentException(
                             NotSentException.Cause.CLOSED, "the HTTP client is closed"));
-            return call;
+            return;
         }
-        ConnectionPool pool = pool(request.address());
-        PooledConnection idle = pool.acquire(preferred, request.maxIdleNanos());
-        if (idle != null) {
-            call.useConnection(idle);
-        } else if (pool.tryReserve()) {
-            call.awaitConnection(preferred);
-            connect(pool, preferred, call);
+        ConnectionPool pool = pool(call.request().address());
+        if (pool.tryReserve()) {
+            call.awaitConnection(thread);
+            connect(pool, thread, call);
         } else {
-            handler.failed(
+            call.failWith(
                     new NotSentException(
                             NotSentException.Cause.POOL_FULL,
                             "connection limit reached: all connections to "
-                                    + request.address()
+                                    + pool.address()
                                     + " are in use"));
         }
-        return call;
     }
 
     /**
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -130,9 +130,14 @@
             connection.release();
             return;
         }
+        if (connection.endedWhileIdle()) {
+            connection.close();
+            mClient.connect(this, connection.thread());
+            return;
+        }
         mConnection = connection;
         if (!connection.isOpen()) {
-            failWith(new NotSentException(Cause.REFUSED, "the pooled connection was closed"));
+            failWith(new NotSentException(Cause.REFUSED, "the new connection was closed"));
             return;
         }
         HeaderMap headers = mRequest.request().getRequestHeaders();
--- a/http/src/main/java/org/redwingladder/http/PooledConnection.java
+++ b/http/src/main/java/org/redwingladder/http/PooledConnection.java
@@ -55,6 +55,14 @@
         return !mClosed.get() && mConnection.isOpen();
     }
 
+    /**
+     * Returns whether the server has ended the connection since it was last released, also if the
+     * end has arrived and was not handled yet. Must be called on its I/O thread.
+     */
+    boolean endedWhileIdle() {
+        return mUsed && (!isOpen() || mSource.endedBetweenResponses());
+    }
+
     long idleSince() {
         return mIdleSince;
     }
--- a/http/src/main/java/org/redwingladder/http/ResponseSourceConduit.java
+++ b/http/src/main/java/org/redwingladder/http/ResponseSourceConduit.java
@@ -39,6 +39,18 @@
         mScanner.startResponse(headRequest);
     }
 
+    /**
+     * Returns whether the server has ended the connection or sent bytes since the last response.
+     * Must be called on the I/O thread, between two responses.
+     */
+    boolean endedBetweenResponses() {
+        try {
+            return read(ByteBuffer.allocate(1)) != 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Records bytes of a body, for which further bytes may arrive. */
     void bodyBytesRead(long count) {
         mBound.bodyBytesRead(count);
