Check a server again when the connection for a request has opened

Cause: a server is chosen before its connection opens, which takes a round trip and a turn of the I/O thread, at most 300 ms unless the thread is delayed. What the host learned meanwhile was ignored.

Change: a request to a server carries a condition, which the HTTP client evaluates on the I/O thread right before the first byte is written. It holds while the server is registered as it was chosen, does not drain and its zone is not evacuated. Otherwise the call fails as never sent (WITHDRAWN), which proves that the request has not run, ejects no server, and takes neither an attempt of the route nor the retry budget; up to three such attempts are made, as with servers that cannot be reached.

AttemptTrackerTest states the results that prove that a request has not run; the new result is added there, since no byte was written.

--- a/core/src/main/java/org/redwingladder/steering/AttemptTracker.java
+++ b/core/src/main/java/org/redwingladder/steering/AttemptTracker.java
@@ -14,8 +14,8 @@
  * <p>A non-idempotent request is retried only if no earlier attempt can have run. Not thread-safe.
  */
 public final class AttemptTracker {
-    /** Limit for attempts that reach no server, which do not count towards the route's limit. */
-    private static final int MAX_UNREACHABLE = 3;
+    /** Limit for attempts that are never sent, which do not count towards the route's limit. */
+    private static final int MAX_NEVER_SENT = 3;
 
     private final Route mRoute;
     private final List<Attempt> mAttempts = new ArrayList<>();
@@ -65,8 +65,8 @@
             return mResult == null || !mResult.provesNotRun();
         }
 
-        private boolean unreachable() {
-            return mResult == SendResult.UNREACHABLE;
+        private boolean neverSent() {
+            return mResult != null && mResult.neverSent();
         }
 
         @Override
@@ -111,11 +111,11 @@
 
     /** Returns whether the route allows another attempt. */
     public boolean hasAttemptsLeft() {
-        return mAttempts.size() - unreachable() < mRoute.maxAttempts();
+        return mAttempts.size() - neverSent() < mRoute.maxAttempts();
     }
 
-    private long unreachable() {
-        return mAttempts.stream().filter(Attempt::unreachable).count();
+    private long neverSent() {
+        return mAttempts.stream().filter(Attempt::neverSent).count();
     }
 
     /** Returns whether the request may be hedged, that is sent while an earlier attempt is open. */
@@ -133,7 +133,7 @@
         if (remainingNanos <= 0 || !hasAttemptsLeft()) {
             return false;
         }
-        if (last == SendResult.UNREACHABLE && unreachable() >= MAX_UNREACHABLE) {
+        if (last.neverSent() && neverSent() >= MAX_NEVER_SENT) {
             return false;
         }
         return !mayHaveRun() || mRoute.kind().retryable();
--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -180,7 +180,7 @@
                 mLoadReportedNanos = nowNanos;
                 mFailureRate += FAILURE_RATE_GAIN * (1 - mFailureRate);
             }
-            case CANCELLED -> {}
+            case CANCELLED, WITHDRAWN -> {}
             default -> throw new IllegalArgumentException("unknown result " + result);
         }
     }
--- a/core/src/main/java/org/redwingladder/steering/BackendSet.java
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -92,12 +92,9 @@
         mUsableByService.clear();
         mVersion++;
         for (Backend backend : mById.values()) {
-            ServerRegistration entry = backend.registration();
-            if (!entry.draining()
-                    && !mEvacuated.contains(entry.zone())
-                    && mRegionOfZone.containsKey(entry.zone())) {
+            if (mayReceive(backend.registration())) {
                 mUsableByService
-                        .computeIfAbsent(entry.service(), s -> new ArrayList<>())
+                        .computeIfAbsent(backend.registration().service(), s -> new ArrayList<>())
                         .add(backend);
             }
         }
@@ -106,6 +103,18 @@
         }
     }
 
+    private boolean mayReceive(ServerRegistration entry) {
+        return !entry.draining()
+                && !mEvacuated.contains(entry.zone())
+                && mRegionOfZone.containsKey(entry.zone());
+    }
+
+    /** Returns whether requests may be sent to a server that was chosen before. */
+    public boolean mayReceive(Backend backend) {
+        ServerRegistration entry = backend.registration();
+        return mById.get(entry.id()) == backend && mayReceive(entry);
+    }
+
     /** Applies the rates that servers accept. */
     public void applyRateLimits(ServerRateLimitTable limits) {
         for (Backend backend : mById.values()) {
--- a/core/src/main/java/org/redwingladder/steering/SendResult.java
+++ b/core/src/main/java/org/redwingladder/steering/SendResult.java
@@ -19,6 +19,8 @@
     MISDIRECTED,
     /** No connection could be made; the request was not sent. */
     UNREACHABLE,
+    /** The server became unusable before the request was sent to it. */
+    WITHDRAWN,
     /** The answer was lost, truncated, malformed or contradicts itself. */
     LOST,
     /** The answer did not arrive before the timeout. */
@@ -61,10 +63,15 @@
         return status >= MIN_SERVER_ERROR ? FAILED : ANSWERED;
     }
 
+    /** Returns whether no byte of the request was sent to the server. */
+    public boolean neverSent() {
+        return this == UNREACHABLE || this == WITHDRAWN;
+    }
+
     /** Returns whether the result proves that the server has not run the request. */
     public boolean provesNotRun() {
         return switch (this) {
-            case FULL, MISDIRECTED, UNREACHABLE -> true;
+            case FULL, MISDIRECTED, UNREACHABLE, WITHDRAWN -> true;
             case ANSWERED, FAILED, UNPROVEN_REFUSAL, LOST, TIMED_OUT, CANCELLED -> false;
         };
     }
--- a/core/src/test/java/org/redwingladder/steering/AttemptTrackerTest.java
+++ b/core/src/test/java/org/redwingladder/steering/AttemptTrackerTest.java
@@ -165,7 +165,8 @@
                                 result ->
                                         result == SendResult.FULL
                                                 || result == SendResult.MISDIRECTED
-                                                || result == SendResult.UNREACHABLE);
+                                                || result == SendResult.UNREACHABLE
+                                                || result == SendResult.WITHDRAWN);
             }
         }
     }
@@ -193,6 +194,15 @@
             assertThat(history.mayRetry(SendResult.UNREACHABLE, 1)).isFalse();
         }
 
+        /** A request that was never sent must not use up the attempts of its route. */
+        @Test
+        void doesNotCountWithdrawnAttempts() {
+            AttemptTracker history = tracker(RequestKind.NON_IDEMPOTENT, 1);
+            history.start("s").end(SendResult.WITHDRAWN);
+            assertThat(history.mayRetry(SendResult.WITHDRAWN, 1)).isTrue();
+            assertThat(history.refuse()).hasToString("s:WITHDRAWN");
+        }
+
         /** The answer to a retry after the deadline would be useless. */
         @Test
         void stopsAtTheDeadline() {
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -174,7 +174,7 @@
     }
 
     private boolean spendRetryBudget(SendResult result) {
-        return result == SendResult.UNREACHABLE || mHandler.router().trySpendRetry(mService);
+        return result.neverSent() || mHandler.router().trySpendRetry(mService);
     }
 
     private void failAfter(SendResult result) {
--- a/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.CallException;
+import org.redwingladder.http.NotSentException;
 import org.redwingladder.http.ResponseLostException;
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.BackendSet;
@@ -158,6 +159,11 @@
         return mPlacer.choose(request, System.nanoTime());
     }
 
+    /** Returns whether an attempt may still be sent to the server that was chosen for it. */
+    boolean maySend(Backend backend) {
+        return mBackends.mayReceive(backend);
+    }
+
     /** Returns the observed service times. */
     ServiceTimeEstimator times() {
         return mServiceTimes;
@@ -215,8 +221,10 @@
 
     /** Maps the failure of a call to the result of the attempt. */
     static SendResult resultOf(CallException cause) {
-        if (cause.neverSent()) {
-            return SendResult.UNREACHABLE;
+        if (cause instanceof NotSentException notSent) {
+            return notSent.reason() == NotSentException.Cause.WITHDRAWN
+                    ? SendResult.WITHDRAWN
+                    : SendResult.UNREACHABLE;
         }
         return cause instanceof ResponseLostException lost
                         && lost.reason() == ResponseLostException.Cause.DEADLINE
--- a/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerRequestBuilder.java
@@ -44,6 +44,7 @@
                                 mRequest.path(),
                                 mRequest.deadlineNanos() + RESPONSE_SLACK_NANOS)
                         .connectDeadlineNanos(sentNanos + CONNECT_TIMEOUT_NANOS)
+                        .sendCondition(() -> mHandler.router().maySend(backend))
                         .allowCloseDelimitedBody()
                         .maxIdleNanos(mHandler.router().maxIdleNanos(mRequest.service()))
                         .maxBufferedBytes(MAX_BUFFERED_BYTES)
--- a/http/src/main/java/org/redwingladder/http/CallRequest.java
+++ b/http/src/main/java/org/redwingladder/http/CallRequest.java
@@ -6,6 +6,7 @@
 import io.undertow.util.HttpString;
 import io.undertow.util.Protocols;
 import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,8 +27,8 @@
     private boolean mCloseDelimitedBodyAllowed;
     private long mMaxIdleNanos = Long.MAX_VALUE;
     private int mMaxBufferedBytes = HttpClientLimits.DEFAULT_MAX_BUFFERED_BYTES;
-
     private @Nullable BufferBudget mBodyBudget;
+    private BooleanSupplier mSendCondition = () -> true;
 
     private CallRequest(
             HttpString method, InetSocketAddress address, String path, long deadlineNanos) {
@@ -123,6 +124,16 @@
         return this;
     }
 
+    /**
+     * Sets a condition that is evaluated on the I/O thread of the connection right before the first
+     * byte is written, which may be long after the call was started. If it does not hold, the call
+     * fails with a {@link NotSentException}.
+     */
+    public CallRequest sendCondition(BooleanSupplier condition) {
+        mSendCondition = condition;
+        return this;
+    }
+
     /** Returns the mutable request headers, for setting many of them. */
     public HeaderMap headers() {
         return mRequest.getRequestHeaders();
@@ -170,6 +181,10 @@
         return mBodyBudget;
     }
 
+    BooleanSupplier sendCondition() {
+        return mSendCondition;
+    }
+
     int maxBufferedBytes() {
         return mMaxBufferedBytes;
     }
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -130,6 +130,11 @@
             connection.release();
             return;
         }
+        if (connection.isOpen() && !mRequest.sendCondition().getAsBoolean()) {
+            connection.release();
+            failWith(new NotSentException(Cause.WITHDRAWN, "the send condition does not hold"));
+            return;
+        }
         mConnection = connection;
         if (!connection.isOpen()) {
             failWith(new NotSentException(Cause.REFUSED, "the pooled connection was closed"));
--- a/http/src/main/java/org/redwingladder/http/NotSentException.java
+++ b/http/src/main/java/org/redwingladder/http/NotSentException.java
@@ -13,6 +13,8 @@
         DEADLINE,
         /** The caller cancelled the call. */
         CANCELLED,
+        /** The {@linkplain CallRequest#sendCondition send condition} no longer held. */
+        WITHDRAWN,
         /** The HTTP client is closed. */
         CLOSED
     }
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -86,7 +86,7 @@
                             + line.text("service")
                             + " could be used"
                             + serverChanges(changes);
-            case "FULL", "MISDIRECTED", "UNREACHABLE" ->
+            case "FULL", "MISDIRECTED", "UNREACHABLE", "WITHDRAWN" ->
                     "refused it, no server ran it: " + sends(line) + serverChanges(changes);
             default -> "refused it unsent: " + reason;
         };
@@ -177,6 +177,7 @@
             case "FULL" -> "turned it away, its queue is full";
             case "MISDIRECTED" -> "is another server than the one registered there";
             case "UNREACHABLE" -> "could not be reached";
+            case "WITHDRAWN" -> "became unusable before it was sent";
             case "LOST" -> "cut its answer off or sent an unusable one after " + millis + " ms";
             case "TIMED_OUT" -> "had not answered after " + millis + " ms";
             case "CANCELLED" -> "was still working on it after " + millis + " ms";
