--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -135,6 +135,11 @@
             mClient.connect(this, connection.thread());
             return;
         }
+        if (connection.isOpen() && !mRequest.sendCondition().getAsBoolean()) {
+            connection.release();
+            failWith(new NotSentException(Cause.WITHDRAWN, "the send condition does not hold"));
+            return;
+        }
         mConnection = connection;
         if (!connection.isOpen()) {
             failWith(new NotSentException(Cause.REFUSED, "the new connection was closed"));
