Move the decoding of rows out of StoreReplica

LoggingRowDecoder decodes the rows of both tables and logs those that it can't read. No other change; StoreReplica comes closer to what it is named after and gets room for the eras of the store.

--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,14 +23,12 @@
  * while by a {@link RegistrationGracePeriod}.
  */
 final class StoreReplica implements TableWatcher.Listener {
-    private final RowDecoder mDecoder;
+    private final LoggingRowDecoder mDecoder;
     private final XnioIoThread mThread;
     private final EventLog mLog;
     private final Listener mListener;
     private final Map<StoreTable, TableReplica> mReplicas = new EnumMap<>(StoreTable.class);
     private final Map<StoreTable, TableWatcher> mWatchers = new EnumMap<>(StoreTable.class);
-    private final Map<String, DecodedServer> mDecodedServers = new HashMap<>();
-    private final Map<String, Long> mLoggedVersions = new HashMap<>();
     private final RegistrationGracePeriod mHold = RegistrationGracePeriod.create();
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
@@ -49,8 +46,6 @@
         void serversChanged(Map<String, ServerRegistration> servers);
     }
 
-    private record DecodedServer(long version, @Nullable ServerRegistration entry) {}
-
     /** The origin of a change, which is logged. */
     private enum Source {
         STORE,
@@ -60,7 +55,7 @@
     }
 
     StoreReplica(RowDecoder decoder, XnioIoThread thread, EventLog log, Listener listener) {
-        mDecoder = decoder;
+        mDecoder = new LoggingRowDecoder(decoder, log);
         mThread = thread;
         mLog = log;
         mListener = listener;
@@ -225,11 +220,7 @@
     private void decodeControl() {
         Set<String> evacuated = new HashSet<>();
         for (StoreRow row : mReplicas.get(StoreTable.CONTROL).rows()) {
-            byte[] value = row.value();
-            if (value == null) {
-                continue;
-            }
-            switch (decodeControlRow(row, value)) {
+            switch (mDecoder.controlRow(row)) {
                 case RowDecoder.ControlRow.Settings read -> applySettings(read.settings());
                 case RowDecoder.ControlRow.Evacuation read -> evacuated.add(read.zone());
                 case RowDecoder.ControlRow.Other other -> {}
@@ -242,15 +233,6 @@
         }
     }
 
-    private RowDecoder.ControlRow decodeControlRow(StoreRow row, byte[] value) {
-        try {
-            return mDecoder.decodeControlRow(row.key(), value);
-        } catch (RowDecoder.MalformedRowException | RuntimeException | StackOverflowError e) {
-            logMalformed(row, e);
-            return new RowDecoder.ControlRow.Other();
-        }
-    }
-
     private void applySettings(SteeringSettings settings) {
         SteeringSettings known = mSettings;
         if (known != null && settings.version() <= known.version()) {
@@ -264,39 +246,10 @@
         mListener.settingsChanged(settings);
     }
 
-    private void logMalformed(StoreRow row, Throwable cause) {
-        Long logged = mLoggedVersions.put(row.key(), row.version());
-        if (logged == null || logged != row.version()) {
-            mLog.event("state", "malformed-row")
-                    .with("key", row.key())
-                    .with("version", row.version())
-                    .with(
-                            "cause",
-                            cause instanceof RowDecoder.MalformedRowException
-                                    ? cause.getMessage()
-                                    : cause)
-                    .write();
-        }
-    }
-
     private void decodeServers(Source source) {
         long now = System.nanoTime();
-        Map<String, ServerRegistration> registered = new HashMap<>();
-        List<StoreRow> rows = mReplicas.get(StoreTable.SERVERS).rows();
-        Set<String> keys = new HashSet<>();
-        for (StoreRow row : rows) {
-            keys.add(row.key());
-            DecodedServer decoded = mDecodedServers.get(row.key());
-            if (decoded == null || decoded.version() != row.version()) {
-                decoded = new DecodedServer(row.version(), decode(row, now));
-                mDecodedServers.put(row.key(), decoded);
-            }
-            ServerRegistration entry = decoded.entry();
-            if (entry != null) {
-                registered.put(entry.id(), entry);
-            }
-        }
-        mDecodedServers.keySet().retainAll(keys);
+        Map<String, ServerRegistration> registered =
+                mDecoder.servers(mReplicas.get(StoreTable.SERVERS).rows(), now);
         mServersKnown = true;
         useServers(mHold.update(registered, now), source);
         if (mHold.hasRetained()) {
@@ -352,19 +305,6 @@
         mListener.serversChanged(servers);
     }
 
-    private @Nullable ServerRegistration decode(StoreRow row, long now) {
-        byte[] value = row.value();
-        if (value == null) {
-            return null;
-        }
-        try {
-            return mDecoder.decodeServer(row.key(), value, now);
-        } catch (RowDecoder.MalformedRowException | RuntimeException | StackOverflowError e) {
-            logMalformed(row, e);
-            return null;
-        }
-    }
-
     /** Returns snapshots of the tables whose replicas are newer than the given positions. */
     List<PeerMessages.TableSnapshot> snapshotsAfter(Map<StoreTable, Long> positions) {
         List<PeerMessages.TableSnapshot> snapshots = new ArrayList<>();
