Keep what hosts know from going back when the store returns from a copy

RegistrationGracePeriod begins its 2 s after a restore as after an outage. Nothing calls them yet; the replicas of tables do next.

--- a/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
+++ b/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
@@ -53,6 +53,11 @@
         mConsecutiveFailures = 0;
     }
 
+    /** Records that the store was restored from a copy, which may lack running servers. */
+    public void recordStoreRestored(long nowNanos) {
+        extend(GRACE_NANOS, nowNanos);
+    }
+
     /**
      * Extends the grace period to that of a peer that forwards changes of the store.
      *
