Order what hosts know of the store by era and version

Cause: a store that comes back from an older copy gives out its versions again and raises its era, but hosts compared versions alone. A host refused each reading and each change until the numbers of the new era had passed those that it had, and passed its lost rows on to the others.

Change: positions of replicas, of changes and of messages between hosts are StoreVersions. A table of a later era replaces one of an earlier era whatever its number; rows of an earlier era are dropped, from the store as from peers. Changes of a later era are never applied: the whole table is read. A host that hears of a later era from a peer reads the tables at once if it follows the store, and else copies them. RestoredStateGuard keeps evacuations and departed, draining and cold servers from going back with the copy's rows.

Messages have new JSON members (era of each position, difference), 0 or false if missing. A host of the build before reads the numbers as it did and ignores lower ones. What it sends has no era and is dropped by hosts that know one; if its number is higher, they read the table from the store, once a second.

A push of the difference of two tables applies only at the very position that it was taken from: it lacks rows that came and went in between.

--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -5,7 +5,6 @@
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -64,7 +63,7 @@
     private @Nullable PeerVersions mNextSnapshotPeer;
 
     /** A peer and the versions of its table replicas. */
-    private record PeerVersions(String address, long control, long servers) {}
+    private record PeerVersions(String address, StoreVersion control, StoreVersion servers) {}
 
     /** Supplies this host's membership entry, with a new heartbeat each time. */
     interface SelfEntry {
@@ -218,13 +217,17 @@
 
     private PeerMessages.GossipMessage gossipMessage(
             List<HostState> entries, @Nullable List<ServerRateLimit> limits) {
+        StoreVersion control = mStoreReplica.table(StoreTable.CONTROL).lastChange();
+        StoreVersion servers = mStoreReplica.table(StoreTable.SERVERS).lastChange();
         return new PeerMessages.GossipMessage(
                 mConfig.host(),
                 entries,
-                mStoreReplica.table(StoreTable.CONTROL).lastChange(),
-                mStoreReplica.table(StoreTable.SERVERS).lastChange(),
+                control.number(),
+                servers.number(),
                 mRateLimits.table().digest(),
-                limits);
+                limits,
+                control.era(),
+                servers.era());
     }
 
     private void gossipWith(String address) {
@@ -262,8 +265,9 @@
             }
         }
         mMembers.merge(message.hosts(), System.nanoTime());
-        fetchSnapshots(
-                new PeerVersions(address, message.controlChanged(), message.serversChanged()));
+        mStoreReplica.peerVersionSeen(StoreTable.CONTROL, message.control());
+        mStoreReplica.peerVersionSeen(StoreTable.SERVERS, message.servers());
+        fetchSnapshots(new PeerVersions(address, message.control(), message.servers()));
     }
 
     /**
@@ -272,8 +276,9 @@
      */
     private void fetchSnapshots(PeerVersions peer) {
         boolean behind =
-                peer.control() > mStoreReplica.table(StoreTable.CONTROL).position()
-                        || peer.servers() > mStoreReplica.table(StoreTable.SERVERS).position();
+                peer.control().isNewerThan(mStoreReplica.table(StoreTable.CONTROL).position())
+                        || peer.servers()
+                                .isNewerThan(mStoreReplica.table(StoreTable.SERVERS).position());
         if (!behind) {
             return;
         }
@@ -285,7 +290,7 @@
         call(
                 peer.address(),
                 COPY,
-                new PeerMessages.SnapshotRequest(
+                PeerMessages.SnapshotRequest.after(
                         mStoreReplica.table(StoreTable.CONTROL).position(),
                         mStoreReplica.table(StoreTable.SERVERS).position()),
                 new PeerClient.BodyReader() {
@@ -352,21 +357,20 @@
                 if (!mStoreReplica.applyPushed(push.changes())) {
                     // Earlier changes are missing; one may be the removal of a server.
                     mMetrics.count("peers.changes-missed");
-                    long position = push.changes().position();
+                    StoreVersion position = push.changes().version();
                     boolean servers = push.changes().table() == StoreTable.SERVERS;
                     fetchSnapshots(
                             new PeerVersions(
-                                    push.from(), servers ? 0 : position, servers ? position : 0));
+                                    push.from(),
+                                    servers ? StoreVersion.NONE : position,
+                                    servers ? position : StoreVersion.NONE));
                 }
                 Responses.text(exchange, 200, "");
             } else {
                 PeerMessages.SnapshotRequest request =
                         PeerCodec.decode(body, PeerMessages.SnapshotRequest.class);
                 List<PeerMessages.TableSnapshot> snapshots =
-                        mStoreReplica.snapshotsAfter(
-                                Map.of(
-                                        StoreTable.CONTROL, request.controlPosition(),
-                                        StoreTable.SERVERS, request.serversPosition()));
+                        mStoreReplica.snapshotsAfter(request.positions());
                 Responses.binary(
                         exchange, PeerCodec.encode(new PeerMessages.SnapshotResponse(snapshots)));
             }
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -1,6 +1,7 @@
 package org.redwingladder.entry;
 
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.ServerRateLimit;
@@ -20,6 +21,9 @@
      *     none
      * @param limits these rate limits in a response to a message with another digest; otherwise
      *     null, as in messages of hosts that do not send rate limits
+     * @param controlEra the era of {@code controlChanged}; 0 if none is known, as in messages of
+     *     hosts that do not send eras
+     * @param serversEra the era of {@code serversChanged}
      */
     record GossipMessage(
             String from,
@@ -27,7 +31,19 @@
             long controlChanged,
             long serversChanged,
             long limitsDigest,
-            @Nullable List<ServerRateLimit> limits) {}
+            @Nullable List<ServerRateLimit> limits,
+            long controlEra,
+            long serversEra) {
+        /** Returns the version of the last known change of the control table. */
+        StoreVersion control() {
+            return new StoreVersion(controlEra, controlChanged);
+        }
+
+        /** Returns the version of the last known change of the servers table. */
+        StoreVersion servers() {
+            return new StoreVersion(serversEra, serversChanged);
+        }
+    }
 
     /** Rate limits that the receiver may not know yet. */
     record RateLimitPush(List<ServerRateLimit> limits) {
@@ -47,9 +63,25 @@
      * @param holdMillis the remaining time for which the sender keeps lapsed entries, 0 if it keeps
      *     none
      * @param rows all rows
+     * @param era the era of the versions, 0 if none is known
      */
     record TableSnapshot(
-            StoreTable table, long position, long changed, long holdMillis, List<StoreRow> rows) {}
+            StoreTable table,
+            long position,
+            long changed,
+            long holdMillis,
+            List<StoreRow> rows,
+            long era) {
+        /** Returns the version up to which the snapshot is complete. */
+        StoreVersion version() {
+            return new StoreVersion(era, position);
+        }
+
+        /** Returns the version of the last change. */
+        StoreVersion lastChange() {
+            return new StoreVersion(era, changed);
+        }
+    }
 
     /**
      * Consecutive changes of a table, as the sender received them from the store.
@@ -60,9 +92,30 @@
      * @param holdMillis the remaining time for which the sender keeps lapsed entries, 0 if it keeps
      *     none
      * @param rows the changed rows
+     * @param afterEra the era of {@code after}, 0 if none is known
+     * @param era the era of {@code position} and of the rows, 0 if none is known
+     * @param difference whether the rows are the difference of two readings of the whole table,
+     *     which applies at {@code after} only
      */
     record TableChanges(
-            StoreTable table, long after, long position, long holdMillis, List<StoreRow> rows) {}
+            StoreTable table,
+            long after,
+            long position,
+            long holdMillis,
+            List<StoreRow> rows,
+            long afterEra,
+            long era,
+            boolean difference) {
+        /** Returns the version to which the changes apply. */
+        StoreVersion afterVersion() {
+            return new StoreVersion(afterEra, after);
+        }
+
+        /** Returns the version after the changes. */
+        StoreVersion version() {
+            return new StoreVersion(era, position);
+        }
+    }
 
     /**
      * Pushes changes to a peer.
@@ -77,8 +130,24 @@
      *
      * @param controlPosition the sender's position in the control table
      * @param serversPosition the sender's position in the servers table
+     * @param controlEra the era of {@code controlPosition}, 0 if none is known
+     * @param serversEra the era of {@code serversPosition}, 0 if none is known
      */
-    record SnapshotRequest(long controlPosition, long serversPosition) {}
+    record SnapshotRequest(
+            long controlPosition, long serversPosition, long controlEra, long serversEra) {
+        /** Returns a request for snapshots that are newer than the given positions. */
+        static SnapshotRequest after(StoreVersion control, StoreVersion servers) {
+            return new SnapshotRequest(
+                    control.number(), servers.number(), control.era(), servers.era());
+        }
+
+        /** Returns the sender's positions. */
+        Map<StoreTable, StoreVersion> positions() {
+            return Map.of(
+                    StoreTable.CONTROL, new StoreVersion(controlEra, controlPosition),
+                    StoreTable.SERVERS, new StoreVersion(serversEra, serversPosition));
+        }
+    }
 
     /** The requested snapshots. */
     record SnapshotResponse(List<TableSnapshot> tables) {}
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -8,8 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.redwingladder.steering.RegistrationGracePeriod;
-import org.redwingladder.steering.ServerRegistration;
+import org.redwingladder.steering.RestoredStateGuard;
 import org.redwingladder.steering.SteeringSettings;
 import org.xnio.XnioIoThread;
 
@@ -19,8 +18,8 @@
  *
  * <p>Rows come from the store or from peers, for example while the store rejects this host. A row
  * that cannot be decoded is logged once and ignored; settings are replaced only by those with a
- * higher version. Servers whose registrations lapsed during an outage of the store are held for a
- * while by a {@link RegistrationGracePeriod}.
+ * higher version. After the store was restored from a copy, a {@link RestoredStateGuard} keeps what
+ * the copy does not have.
  */
 final class StoreReplica implements TableWatcher.Listener {
     private final LoggingRowDecoder mDecoder;
@@ -29,36 +28,29 @@
     private final Listener mListener;
     private final Map<StoreTable, TableReplica> mReplicas = new EnumMap<>(StoreTable.class);
     private final Map<StoreTable, TableWatcher> mWatchers = new EnumMap<>(StoreTable.class);
-    private final RegistrationGracePeriod mHold = RegistrationGracePeriod.create();
+    private final RestoredStateGuard mGuard = RestoredStateGuard.create();
+    private final UsableServers mServers;
+    private final StoreEra mEra;
+    private boolean mWatching;
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
-    private Map<String, ServerRegistration> mUsedServers = Map.of();
     private boolean mServersKnown;
-    private boolean mReleaseScheduled;
     private ChangePublisher mPublisher = changes -> {};
 
     /** Receives the decoded state after updates. */
-    interface Listener {
+    interface Listener extends UsableServers.Listener {
         void settingsChanged(SteeringSettings settings);
 
         void evacuatedZonesChanged(Set<String> zones);
-
-        void serversChanged(Map<String, ServerRegistration> servers);
-    }
-
-    /** The origin of a change, which is logged. */
-    private enum Source {
-        STORE,
-        PUSH,
-        COPY,
-        HOLD_END
     }
 
     StoreReplica(RowDecoder decoder, XnioIoThread thread, EventLog log, Listener listener) {
         mDecoder = new LoggingRowDecoder(decoder, log);
         mThread = thread;
         mLog = log;
+        mEra = new StoreEra(log);
         mListener = listener;
+        mServers = new UsableServers(mGuard, thread, log, listener);
         mReplicas.put(StoreTable.CONTROL, new TableReplica());
         mReplicas.put(StoreTable.SERVERS, new TableReplica());
     }
@@ -84,6 +76,7 @@
 
     /** Enables or disables watching the store; peers push changes to a host that does not watch. */
     void setWatching(boolean watching) {
+        mWatching = watching;
         mWatchers.forEach(
                 (table, watcher) -> watcher.setWatching(watching, mReplicas.get(table).position()));
     }
@@ -115,101 +108,199 @@
     }
 
     @Override
-    public boolean replace(StoreTable table, List<StoreRow> rows, long position) {
+    public boolean replace(StoreTable table, List<StoreRow> rows, StoreVersion position) {
         TableReplica replica = mReplicas.get(table);
-        long after = replica.position();
+        StoreVersion after = replica.position();
         List<StoreRow> changes = replica.diff(rows, position);
         // A snapshot has no tombstones, so its position bounds the version of its last change.
         if (!replica.replace(rows, position, position)) {
             return false;
         }
-        boolean firstSnapshot = after == 0;
-        if (!firstSnapshot) {
-            publish(table, after, position, changes);
+        raiseEra(position.era(), StoreEra.Source.STORE);
+        boolean firstSnapshot = after.equals(StoreVersion.NONE);
+        recordRestore(table, after);
+        if (!firstSnapshot && mWatching) {
+            publish(table, after, position, changes, true);
         }
-        decodeTable(table, Source.STORE);
+        decodeTable(table, UsableServers.Source.STORE);
         return true;
     }
 
     @Override
-    public void apply(StoreTable table, List<StoreRow> rows, long position) {
-        long after = mReplicas.get(table).position();
+    public void apply(StoreTable table, List<StoreRow> rows, StoreVersion position) {
+        StoreVersion after = mReplicas.get(table).position();
         mReplicas.get(table).apply(rows, position);
-        publish(table, after, position, rows);
+        publish(table, after, position, rows, false);
         if (!rows.isEmpty()) {
-            decodeTable(table, Source.STORE);
+            decodeTable(table, UsableServers.Source.STORE);
         }
     }
 
-    private void publish(StoreTable table, long after, long position, List<StoreRow> rows) {
+    private void publish(
+            StoreTable table,
+            StoreVersion after,
+            StoreVersion position,
+            List<StoreRow> rows,
+            boolean difference) {
         if (!rows.isEmpty()) {
             mPublisher.publish(
-                    new PeerMessages.TableChanges(table, after, position, holdMillis(), rows));
+                    new PeerMessages.TableChanges(
+                            table,
+                            after.number(),
+                            position.number(),
+                            mServers.holdMillis(),
+                            rows,
+                            after.era(),
+                            position.era(),
+                            difference));
         }
     }
 
-    /** Applies changes that a peer pushed; returns false if earlier changes are missing. */
-    boolean applyPushed(PeerMessages.TableChanges changes) {
-        TableReplica replica = mReplicas.get(changes.table());
-        if (replica.position() < changes.after()) {
-            return false;
+    @Override
+    public long era() {
+        return mEra.current();
+    }
+
+    /** Returns the latest era of the store that this host has seen and what follows from it. */
+    StoreEra storeEra() {
+        return mEra;
+    }
+
+    @Override
+    public void eraSeen(long era) {
+        raiseEra(era, StoreEra.Source.STORE);
+    }
+
+    @Override
+    public void earlierEraSeen(StoreTable table, StoreVersion position) {
+        mEra.logDropped(table, position, StoreEra.Source.STORE);
+    }
+
+    private void raiseEra(long era, StoreEra.Source source) {
+        if (mEra.raise(era, source)) {
+            mWatchers.forEach(
+                    (table, watcher) -> {
+                        if (mReplicas.get(table).position().era() < era) {
+                            watcher.eraRaised();
+                        }
+                    });
         }
-        if (replica.position() < changes.position()) {
-            extendHold(changes.holdMillis());
-            replica.apply(changes.rows(), changes.position());
-            decodeTable(changes.table(), Source.PUSH);
+    }
+
+    /** Handles the version up to which a peer knows a table. */
+    void peerVersionSeen(StoreTable table, StoreVersion version) {
+        TableReplica replica = mReplicas.get(table);
+        raiseEra(version.era(), StoreEra.Source.PEER);
+        // Without an era nothing tells whether a host of an earlier build is ahead or has rows that
+        // the store has lost; the store does.
+        TableWatcher watcher = mWatchers.get(table);
+        if (watcher != null
+                && version.era() == 0
+                && mEra.current() > 0
+                && version.number() > replica.position().number()) {
+            watcher.readUnwatched();
         }
-        return true;
     }
 
-    private long holdMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(mHold.remainingNanos(System.nanoTime()));
+    /** Returns whether rows of a peer are of an era that has ended. */
+    private boolean isOutdated(StoreTable table, StoreVersion version) {
+        peerVersionSeen(table, version);
+        boolean outdated = version.era() < mEra.current();
+        if (outdated) {
+            mEra.logDropped(table, version, StoreEra.Source.PEER);
+        }
+        return outdated;
+    }
+
+    /** Prepares for the first rows of a later era, which may be older than those known. */
+    private void recordRestore(StoreTable table, StoreVersion before) {
+        TableReplica replica = mReplicas.get(table);
+        if (before.equals(StoreVersion.NONE) || before.era() == replica.position().era()) {
+            return;
+        }
+        long now = System.nanoTime();
+        if (table == StoreTable.CONTROL) {
+            mGuard.controlRestored(now);
+        } else {
+            mGuard.serversRestored(replica.versions(), now);
+            mServers.hold().recordStoreRestored(now);
+        }
+        mThread.executeAfter(
+                () -> decodeTable(table, UsableServers.Source.HOLD_END),
+                RestoredStateGuard.SETTLE_NANOS + 1,
+                TimeUnit.NANOSECONDS);
     }
 
-    private void extendHold(long millis) {
-        mHold.extendFromPeer(TimeUnit.MILLISECONDS.toNanos(millis), System.nanoTime());
+    /** Applies changes that a peer pushed; returns false if earlier changes are missing. */
+    boolean applyPushed(PeerMessages.TableChanges changes) {
+        StoreTable table = changes.table();
+        TableReplica replica = mReplicas.get(table);
+        StoreVersion before = replica.position();
+        if (isOutdated(table, changes.version())) {
+            return true;
+        }
+        TableReplica.Relation relation =
+                replica.relationOf(changes.afterVersion(), changes.version(), changes.difference());
+        return switch (relation) {
+            case CONTAINED -> true;
+            case GAP -> false;
+            case APPLICABLE -> {
+                mServers.extendHold(changes.holdMillis());
+                replica.apply(changes.rows(), changes.version());
+                recordRestore(table, before);
+                decodeTable(table, UsableServers.Source.PUSH);
+                yield true;
+            }
+        };
     }
 
     @Override
     public void callSucceeded(StoreTable table) {
         if (table == StoreTable.SERVERS) {
-            mHold.recordStoreSuccess(System.nanoTime());
+            mServers.hold().recordStoreSuccess(System.nanoTime());
         }
     }
 
     @Override
     public void callFailed(StoreTable table) {
         if (table == StoreTable.SERVERS) {
-            mHold.recordStoreFailure();
+            mServers.hold().recordStoreFailure();
         }
     }
 
     @Override
     public void watchDisabled(StoreTable table) {
         if (table == StoreTable.SERVERS) {
-            mHold.recordPollingStopped();
+            mServers.hold().recordPollingStopped();
         }
     }
 
     /** Installs a peer's snapshot of a table if it is newer than the replica. */
     void installSnapshot(PeerMessages.TableSnapshot snapshot) {
         StoreTable table = snapshot.table();
-        long position = snapshot.position();
+        StoreVersion position = snapshot.version();
         TableReplica replica = mReplicas.get(table);
-        if (position <= replica.position()
-                || !replica.replace(snapshot.rows(), position, snapshot.changed())) {
+        StoreVersion before = replica.position();
+        if (isOutdated(table, position)
+                || !position.isNewerThan(before)
+                || !replica.replace(snapshot.rows(), position, snapshot.lastChange())) {
             return;
         }
-        extendHold(snapshot.holdMillis());
-        mLog.event("state", "adopted").with("table", table).with("position", position).write();
-        decodeTable(table, Source.COPY);
+        mServers.extendHold(snapshot.holdMillis());
+        recordRestore(table, before);
+        mLog.event("state", "adopted")
+                .with("table", table)
+                .with("position", position.number())
+                .with("era", position.era())
+                .write();
+        decodeTable(table, UsableServers.Source.COPY);
         if (healthy(table)) {
             // The long poll in flight is stalled or behind; restart it from the new position.
             mWatchers.get(table).watchFrom(position);
         }
     }
 
-    private void decodeTable(StoreTable table, Source source) {
+    private void decodeTable(StoreTable table, UsableServers.Source source) {
         if (table == StoreTable.CONTROL) {
             decodeControl();
         } else {
@@ -226,10 +317,11 @@
                 case RowDecoder.ControlRow.Other other -> {}
             }
         }
-        if (!evacuated.equals(mEvacuated)) {
-            mEvacuated = evacuated;
-            mLog.event("state", "evacuated").with("zones", evacuated).write();
-            mListener.evacuatedZonesChanged(evacuated);
+        Set<String> zones = mGuard.evacuatedZones(evacuated, System.nanoTime());
+        if (!zones.equals(mEvacuated)) {
+            mEvacuated = zones;
+            mLog.event("state", "evacuated").with("zones", zones).write();
+            mListener.evacuatedZonesChanged(zones);
         }
     }
 
@@ -246,78 +338,31 @@
         mListener.settingsChanged(settings);
     }
 
-    private void decodeServers(Source source) {
-        long now = System.nanoTime();
-        Map<String, ServerRegistration> registered =
-                mDecoder.servers(mReplicas.get(StoreTable.SERVERS).rows(), now);
+    private void decodeServers(UsableServers.Source source) {
+        TableReplica replica = mReplicas.get(StoreTable.SERVERS);
         mServersKnown = true;
-        useServers(mHold.update(registered, now), source);
-        if (mHold.hasRetained()) {
-            mLog.event("state", "lapsed-servers-held")
-                    .with("servers", String.join(" ", mHold.retainedIds()))
-                    .with("millis", holdMillis())
-                    .write();
-            scheduleRelease();
-        }
-    }
-
-    private void scheduleRelease() {
-        if (!mReleaseScheduled) {
-            mReleaseScheduled = true;
-            mThread.executeAfter(
-                    this::releaseHeldServers,
-                    mHold.remainingNanos(System.nanoTime()) + 1,
-                    TimeUnit.NANOSECONDS);
-        }
-    }
-
-    private void releaseHeldServers() {
-        mReleaseScheduled = false;
-        if (mHold.hasRetained()) {
-            useServers(mHold.effectiveRegistrations(System.nanoTime()), Source.HOLD_END);
-        }
-        if (mHold.hasRetained()) {
-            scheduleRelease();
-        }
-    }
-
-    private void useServers(Map<String, ServerRegistration> servers, Source source) {
-        StringBuilder departed = new StringBuilder();
-        mUsedServers.forEach(
-                (id, before) -> {
-                    ServerRegistration now = servers.get(id);
-                    if (now == null) {
-                        departed.append(departed.isEmpty() ? "" : " ").append(id).append(":GONE");
-                    } else if (now.draining() && !before.draining()) {
-                        departed.append(departed.isEmpty() ? "" : " ")
-                                .append(id)
-                                .append(":DRAINING");
-                    }
-                });
-        mUsedServers = Map.copyOf(servers);
-        if (!departed.isEmpty()) {
-            mLog.event("state", "servers-left")
-                    .with("servers", departed)
-                    .with("position", mReplicas.get(StoreTable.SERVERS).position())
-                    .with("source", source)
-                    .write();
-        }
-        mListener.serversChanged(servers);
+        mServers.update(
+                mDecoder.servers(replica.rows(), System.nanoTime()),
+                replica.versions(),
+                replica.position(),
+                source);
     }
 
     /** Returns snapshots of the tables whose replicas are newer than the given positions. */
-    List<PeerMessages.TableSnapshot> snapshotsAfter(Map<StoreTable, Long> positions) {
+    List<PeerMessages.TableSnapshot> snapshotsAfter(Map<StoreTable, StoreVersion> positions) {
         List<PeerMessages.TableSnapshot> snapshots = new ArrayList<>();
         mReplicas.forEach(
                 (table, replica) -> {
-                    if (replica.position() > positions.getOrDefault(table, -1L)) {
+                    StoreVersion known = positions.get(table);
+                    if (known == null || replica.position().isNewerThan(known)) {
                         snapshots.add(
                                 new PeerMessages.TableSnapshot(
                                         table,
-                                        replica.position(),
-                                        replica.lastChange(),
-                                        holdMillis(),
-                                        replica.rows()));
+                                        replica.position().number(),
+                                        replica.lastChange().number(),
+                                        mServers.holdMillis(),
+                                        replica.rows(),
+                                        replica.position().era()));
                     }
                 });
         return snapshots;
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -27,6 +27,9 @@
     /** Coalesces bursts of changes; a draining server may get requests for some more seconds. */
     private static final long COALESCE_MILLIS = 100;
 
+    /** Bounds the reads while hosts of a build without eras push changes: 2 a second and host. */
+    private static final long EXTRA_READ_MILLIS = 1_000;
+
     private static final long MIN_BACK_OFF_MILLIS = 150;
     private static final long MAX_BACK_OFF_MILLIS = 1_000;
 
@@ -45,7 +48,9 @@
     private boolean mLastFailed;
     private boolean mTableRead;
     private boolean mReading;
-    private long mPolledPosition;
+    private StoreVersion mPolledPosition = StoreVersion.NONE;
+    private long mNextExtraReadNanos;
+    private boolean mExtraRead;
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
@@ -53,10 +58,19 @@
          * Replaces the table by a snapshot; returns false if the snapshot is older than the
          * replica.
          */
-        boolean replace(StoreTable table, List<StoreRow> rows, long position);
+        boolean replace(StoreTable table, List<StoreRow> rows, StoreVersion position);
 
         /** Applies changes that follow the previous position. */
-        void apply(StoreTable table, List<StoreRow> rows, long position);
+        void apply(StoreTable table, List<StoreRow> rows, StoreVersion position);
+
+        /** Returns the latest era of the store that this host has seen. */
+        long era();
+
+        /** Called with the era of a response that has no rows to deliver. */
+        void eraSeen(long era);
+
+        /** Called with the position of rows that were dropped because their era has ended. */
+        void earlierEraSeen(StoreTable table, StoreVersion position);
 
         /** Called after each successful call to the store, before its rows are delivered. */
         void callSucceeded(StoreTable table);
@@ -96,14 +110,15 @@
      *
      * @param position the position after which changes are watched
      */
-    void setWatching(boolean watching, long position) {
+    void setWatching(boolean watching, StoreVersion position) {
         if (watching == mWatching || mStopped) {
             return;
         }
         mWatching = watching;
         mLog.event("store", watching ? "follows" : "relies-on-others")
                 .with("table", mTable)
-                .with("position", position)
+                .with("position", position.number())
+                .with("era", position.era())
                 .with("lastFailed", mLastFailed)
                 .with("reading", mReading)
                 .write();
@@ -135,7 +150,10 @@
     /** Reads the whole table; the response of a call in flight is ignored. */
     void readTable() {
         long generation = ++mGeneration;
-        mRetry = null;
+        if (mRetry != null) {
+            mRetry.remove();
+            mRetry = null;
+        }
         mReading = true;
         mStore.readTable(
                 mTable,
@@ -143,6 +161,24 @@
                 new ResponseCallback(generation, true));
     }
 
+    /** Reads the table if this host watches it, since the store has a later era than its rows. */
+    void eraRaised() {
+        if (mWatching && !mReading && !mStopped) {
+            readTable();
+        }
+    }
+
+    /** Reads the table once in a while if this host does not watch it. */
+    void readUnwatched() {
+        long now = System.nanoTime();
+        boolean recent = mExtraRead && now - mNextExtraReadNanos < 0;
+        if (!mWatching && mTableRead && !mReading && !recent && !mStopped) {
+            mExtraRead = true;
+            mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
+            readTable();
+        }
+    }
+
     void stop() {
         mStopped = true;
         mGeneration++;
@@ -152,7 +188,7 @@
     }
 
     /** Restarts the watch from a position if watching is enabled; a call in flight is ignored. */
-    void watchFrom(long position) {
+    void watchFrom(StoreVersion position) {
         if (!mWatching) {
             return;
         }
@@ -165,14 +201,14 @@
         mPolledPosition = position;
         mStore.pollChanges(
                 mTable,
-                position,
+                position.number(),
                 LONG_POLL_MILLIS,
                 System.nanoTime()
                         + TimeUnit.MILLISECONDS.toNanos(LONG_POLL_MILLIS + LONG_POLL_SLACK_MILLIS),
                 new ResponseCallback(generation, false));
     }
 
-    private void scheduleWatch(long position) {
+    private void scheduleWatch(StoreVersion position) {
         if (mWatching) {
             mRetry =
                     mThread.executeAfter(
@@ -192,6 +228,23 @@
         mListener.callSucceeded(mTable);
     }
 
+    private void recordFailure() {
+        mHealthy = false;
+        if (mWatching || !mTableRead) {
+            mLastFailed = true;
+            mListener.callFailed(mTable);
+            scheduleRetry();
+        }
+    }
+
+    /** Reads the table, which another one's watch begins, too, if the store has a later era. */
+    private void readAfterRestore(long era) {
+        mListener.eraSeen(era);
+        if (!mReading) {
+            readTable();
+        }
+    }
+
     private void scheduleRetry() {
         long jitter = ThreadLocalRandom.current().nextLong(mBackOffMillis);
         mRetry =
@@ -214,9 +267,19 @@
             if (mCallGeneration != mGeneration || mStopped) {
                 return;
             }
+            StoreVersion position = read.position();
             mReading = false;
+            if (position.era() < mListener.era()) {
+                mListener.earlierEraSeen(mTable, position);
+                recordFailure();
+                return;
+            }
             recordSuccess();
-            long position = read.position().number();
+            if (!mSnapshot && position.era() != mPolledPosition.era()) {
+                // The changes follow a table that this host never had.
+                readAfterRestore(position.era());
+                return;
+            }
             try {
                 if (!mSnapshot) {
                     mListener.apply(mTable, read.rows(), position);
@@ -231,7 +294,8 @@
                 // The watch must go on: later changes may be removals of servers.
                 mLog.event("store", "delivery-failed")
                         .with("table", mTable)
-                        .with("position", position)
+                        .with("position", position.number())
+                        .with("era", position.era())
                         .with("cause", e)
                         .write();
                 mBackOffMillis = MAX_BACK_OFF_MILLIS;
@@ -260,13 +324,12 @@
                 mLastFailed = false;
                 mLog.event("store", "history-lost")
                         .with("table", mTable)
-                        .with("position", mPolledPosition)
+                        .with("position", mPolledPosition.number())
                         .with("era", cause.era())
                         .write();
-                readTable();
+                readAfterRestore(cause.era());
                 return;
             }
-            mHealthy = false;
             if (!mFailureLogged) {
                 mFailureLogged = true;
                 mLog.event("store", "lost")
@@ -275,11 +338,7 @@
                         .with("cause", cause.getMessage())
                         .write();
             }
-            mLastFailed = true;
-            mListener.callFailed(mTable);
-            if (mWatching || !mTableRead) {
-                scheduleRetry();
-            }
+            recordFailure();
         }
     }
 }
--- a/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
@@ -93,7 +93,7 @@
                 new PeerMessages.ChangePush(
                         Addresses.format(sender.address()),
                         new PeerMessages.TableChanges(
-                                StoreTable.SERVERS, after, after + 2, 0, List.of()));
+                                StoreTable.SERVERS, after, after + 2, 0, List.of(), 0, 0, false));
         return send("/peer/changes", push);
     }
 
@@ -137,7 +137,7 @@
             HostState host =
                     new HostState(
                             "odd", 1, 1, "z1", peerAddress, "10.0.0.1:80", true, true, 1, Map.of());
-            return new PeerMessages.GossipMessage("odd", List.of(host), 99, 99, 0, null);
+            return new PeerMessages.GossipMessage("odd", List.of(host), 99, 99, 0, null, 0, 0);
         }
 
         /** A snapshot request that could not be sent was never seen to end. */
--- a/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
@@ -37,7 +37,9 @@
                 17,
                 42,
                 99,
-                List.of(new ServerRateLimit("i-1", 1, 5.3, 2, "h1")));
+                List.of(new ServerRateLimit("i-1", 1, 5.3, 2, "h1")),
+                3,
+                4);
     }
 
     @Nested
--- a/daemon/src/test/java/org/redwingladder/entry/ScriptedStoreClient.java
+++ b/daemon/src/test/java/org/redwingladder/entry/ScriptedStoreClient.java
@@ -41,16 +41,24 @@
         return mPolls.containsKey(table);
     }
 
-    /** Completes the pending read of a table. */
+    /** Completes the pending read of a table of a store that states no era. */
     void completeRead(StoreTable table, long position, StoreRow... rows) {
-        mReads.remove(table)
-                .succeeded(new VersionedRows(List.of(rows), new StoreVersion(0, position)));
+        completeRead(table, new StoreVersion(0, position), rows);
     }
 
-    /** Completes the pending long poll for changes of a table. */
+    /** Completes the pending read of a table. */
+    void completeRead(StoreTable table, StoreVersion position, StoreRow... rows) {
+        mReads.remove(table).succeeded(new VersionedRows(List.of(rows), position));
+    }
+
+    /** Completes the pending long poll for changes of a table of a store that states no era. */
     void completePoll(StoreTable table, long position, StoreRow... rows) {
-        mPolls.remove(table)
-                .succeeded(new VersionedRows(List.of(rows), new StoreVersion(0, position)));
+        completePoll(table, new StoreVersion(0, position), rows);
+    }
+
+    /** Completes the pending long poll for changes of a table. */
+    void completePoll(StoreTable table, StoreVersion position, StoreRow... rows) {
+        mPolls.remove(table).succeeded(new VersionedRows(List.of(rows), position));
     }
 
     /** Fails the pending long poll for changes of a table. */
@@ -58,6 +66,12 @@
         mPolls.remove(table).failed(new StoreException(reason, "scripted"));
     }
 
+    /** Answers the pending long poll that a store of an era does not have the history. */
+    void losePollHistory(StoreTable table, long era) {
+        mPolls.remove(table)
+                .failed(new StoreException(StoreException.Reason.HISTORY_LOST, "scripted", era));
+    }
+
     /** Fails the pending read of a table. */
     void failRead(StoreTable table, StoreException.Reason reason) {
         mReads.remove(table).failed(new StoreException(reason, "scripted"));
--- a/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/StoreReplicaTest.java
@@ -66,7 +66,10 @@
                         10,
                         11,
                         holdMillis,
-                        List.of(TestRowDecoder.removed(server, 11)));
+                        List.of(TestRowDecoder.removed(server, 11)),
+                        0,
+                        0,
+                        false);
         return mThread.call(() -> mReplica.applyPushed(changes));
     }
 
@@ -106,7 +109,13 @@
             mThread.run(() -> mReplica.setWatching(false));
             assertThat(pushRemoval("s1", 100)).isTrue();
             awaitServers("s2");
-            assertThat(mThread.call(() -> mReplica.snapshotsAfter(Map.of(StoreTable.SERVERS, 10L))))
+            assertThat(
+                            mThread.call(
+                                    () ->
+                                            mReplica.snapshotsAfter(
+                                                    Map.of(
+                                                            StoreTable.SERVERS,
+                                                            new StoreVersion(0, 10)))))
                     .filteredOn(snapshot -> snapshot.table() == StoreTable.SERVERS)
                     .extracting(PeerMessages.TableSnapshot::holdMillis)
                     .containsExactly(0L);
@@ -161,4 +170,169 @@
             awaitServers("s2", "s3");
         }
     }
+
+    /** Hosts kept replaced rows until the versions of a returned store had passed theirs. */
+    @Nested
+    class RestoredStore {
+        private static final StoreVersion COPY = new StoreVersion(2, 5);
+
+        /** Brings the store to the first era, at the position 10. */
+        @BeforeEach
+        void stateEra() throws Exception {
+            restore(
+                    new StoreVersion(1, 10),
+                    TestRowDecoder.ready("s1", 1),
+                    TestRowDecoder.ready("s2", 2));
+            mThread.run(mPublished::clear);
+        }
+
+        /** Loses the history of the table of servers with a later era, and reads both tables. */
+        private void restore(StoreVersion position, StoreRow... rows) throws Exception {
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(() -> mStore.losePollHistory(StoreTable.SERVERS, position.era()));
+            awaitRead();
+            assertThat(mThread.call(() -> mStore.readPending(StoreTable.CONTROL))).isTrue();
+            mThread.run(() -> mStore.completeRead(StoreTable.CONTROL, position));
+            mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, position, rows));
+        }
+
+        private boolean push(StoreVersion after, StoreVersion position, StoreRow... rows)
+                throws Exception {
+            PeerMessages.TableChanges changes =
+                    new PeerMessages.TableChanges(
+                            StoreTable.SERVERS,
+                            after.number(),
+                            position.number(),
+                            0,
+                            List.of(rows),
+                            after.era(),
+                            position.era(),
+                            false);
+            return mThread.call(() -> mReplica.applyPushed(changes));
+        }
+
+        @Test
+        void isReadAndPublishedAlthoughItsVersionsWentBack() throws Exception {
+            restore(
+                    COPY,
+                    TestRowDecoder.ready("s1", 1),
+                    TestRowDecoder.ready("s2", 2),
+                    TestRowDecoder.ready("s3", 5));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2", "s3");
+            assertThat(mThread.call(() -> List.copyOf(mPublished)))
+                    .singleElement()
+                    .satisfies(
+                            changes -> {
+                                assertThat(changes.afterVersion())
+                                        .isEqualTo(new StoreVersion(1, 10));
+                                assertThat(changes.version()).isEqualTo(COPY);
+                                assertThat(changes.rows())
+                                        .extracting(StoreRow::key)
+                                        .containsExactly("s3");
+                            });
+        }
+
+        @Test
+        void isReadInsteadOfApplyingChangesOfALaterEra() throws Exception {
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS,
+                                    new StoreVersion(2, 12),
+                                    TestRowDecoder.ready("s9", 12)));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            awaitRead();
+        }
+
+        @Test
+        void isReadAtOnceWhenAPeerHasALaterEra() throws Exception {
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(() -> mReplica.peerVersionSeen(StoreTable.CONTROL, COPY));
+            assertThat(mThread.call(() -> mStore.readPending(StoreTable.SERVERS))).isTrue();
+        }
+
+        @Test
+        void isNotFollowedByRowsOfTheEarlierEra() throws Exception {
+            restore(COPY, TestRowDecoder.ready("s1", 1), TestRowDecoder.ready("s2", 2));
+            StoreVersion late = new StoreVersion(1, 900);
+            assertThat(push(new StoreVersion(1, 10), late, TestRowDecoder.ready("s9", 900)))
+                    .isTrue();
+            mThread.run(
+                    () ->
+                            mReplica.installSnapshot(
+                                    new PeerMessages.TableSnapshot(
+                                            StoreTable.SERVERS,
+                                            900,
+                                            900,
+                                            0,
+                                            List.of(TestRowDecoder.ready("s9", 900)),
+                                            1)));
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS, late, TestRowDecoder.ready("s9", 900)));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            awaitRead();
+            mThread.run(
+                    () ->
+                            mStore.completeRead(
+                                    StoreTable.SERVERS, late, TestRowDecoder.ready("s9", 900)));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            // The answer is used for nothing, and the reading is repeated.
+            awaitRead();
+        }
+
+        @Test
+        void isTakenFromAPushOnlyAtThePositionOfTheDifference() throws Exception {
+            assertThat(push(new StoreVersion(1, 9), COPY, TestRowDecoder.ready("s3", 5))).isFalse();
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            assertThat(push(new StoreVersion(1, 10), COPY, TestRowDecoder.ready("s3", 5))).isTrue();
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2", "s3");
+        }
+
+        @Test
+        void isReadWhenAHostOfAnEarlierBuildMayBeAhead() throws Exception {
+            mThread.run(() -> mReplica.setWatching(false));
+            assertThat(
+                            push(
+                                    new StoreVersion(0, 10),
+                                    new StoreVersion(0, 11),
+                                    TestRowDecoder.ready("s9", 11)))
+                    .isTrue();
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            assertThat(mThread.call(() -> mStore.readPending(StoreTable.SERVERS))).isTrue();
+        }
+
+        /** Servers that the copy does not have may be running and write their rows again. */
+        @Test
+        void keepsServersThatAreMissingForAWhile() throws Exception {
+            restore(COPY, TestRowDecoder.ready("s1", 1));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+            awaitServers("s1");
+        }
+
+        @Test
+        void doesNotBringBackServersThatHadLeft() throws Exception {
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS,
+                                    new StoreVersion(1, 40),
+                                    TestRowDecoder.removed("s2", 40)));
+            awaitServers("s1");
+            restore(COPY, TestRowDecoder.ready("s1", 1), TestRowDecoder.ready("s2", 2));
+            assertThat(mServers).containsExactly("s1");
+            mThread.await(() -> mStore.pollPending(StoreTable.SERVERS));
+            mThread.run(
+                    () ->
+                            mStore.completePoll(
+                                    StoreTable.SERVERS,
+                                    new StoreVersion(2, 6),
+                                    TestRowDecoder.ready("s2", 6)));
+            assertThat(mServers).containsExactlyInAnyOrder("s1", "s2");
+        }
+    }
 }
--- a/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
@@ -14,6 +14,7 @@
 class TableWatcherTest {
     private final ScriptedStoreClient mStore = new ScriptedStoreClient();
     private final List<Long> mPositions = new ArrayList<>();
+    private long mEra;
     private @Nullable Error mListenerError;
     private @Nullable RuntimeException mListenerException;
     private TestThread mThread;
@@ -21,18 +22,31 @@
 
     private final class PositionRecorder implements TableWatcher.Listener {
         @Override
-        public boolean replace(StoreTable table, List<StoreRow> rows, long position) {
+        public boolean replace(StoreTable table, List<StoreRow> rows, StoreVersion position) {
             failOnce();
-            mPositions.add(position);
+            mPositions.add(position.number());
             return true;
         }
 
         @Override
-        public void apply(StoreTable table, List<StoreRow> rows, long position) {
+        public void apply(StoreTable table, List<StoreRow> rows, StoreVersion position) {
             failOnce();
-            mPositions.add(position);
+            mPositions.add(position.number());
         }
 
+        @Override
+        public long era() {
+            return mEra;
+        }
+
+        @Override
+        public void eraSeen(long era) {
+            mEra = Math.max(mEra, era);
+        }
+
+        @Override
+        public void earlierEraSeen(StoreTable table, StoreVersion position) {}
+
         private void failOnce() {
             RuntimeException exception = mListenerException;
             mListenerException = null;
@@ -91,7 +105,7 @@
 
         @Test
         void deliversChangesOnceEnabled() throws Exception {
-            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(true, new StoreVersion(0, 10)));
             mThread.await(TableWatcherTest.this::pollPending);
             mThread.run(() -> mStore.completePoll(StoreTable.SERVERS, 11));
             mThread.await(TableWatcherTest.this::pollPending);
@@ -102,18 +116,18 @@
         @Test
         void startsAfterFirstReadIfEnabledBefore() throws Exception {
             mThread.run(mWatcher::readTable);
-            mThread.run(() -> mWatcher.setWatching(true, 0));
+            mThread.run(() -> mWatcher.setWatching(true, new StoreVersion(0, 0)));
             mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, 13));
             mThread.await(TableWatcherTest.this::pollPending);
         }
 
         @Test
         void clearsLastFailureWhenDisabled() throws Exception {
-            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(true, new StoreVersion(0, 10)));
             mThread.await(TableWatcherTest.this::pollPending);
             mThread.run(() -> mStore.failPoll(StoreTable.SERVERS, StoreException.Reason.REFUSED));
             assertThat(mWatcher.lastFailed()).isTrue();
-            mThread.run(() -> mWatcher.setWatching(false, 10));
+            mThread.run(() -> mWatcher.setWatching(false, new StoreVersion(0, 10)));
             assertThat(mWatcher.lastFailed()).isFalse();
         }
     }
@@ -121,7 +135,7 @@
     @Nested
     class Listeners {
         private void completePollThatFails() throws Exception {
-            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(true, new StoreVersion(0, 10)));
             mThread.await(TableWatcherTest.this::pollPending);
             mThread.run(() -> mStore.completePoll(StoreTable.SERVERS, 11));
         }
@@ -150,7 +164,7 @@
 
         @Test
         void thatThrowAtAWholeReadingDoNotEndTheWatch() throws Exception {
-            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(true, new StoreVersion(0, 10)));
             mThread.run(mWatcher::readTable);
             mListenerException = new IllegalStateException("odd row");
             mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, 11));
