Ask for the age of the tables instead of waiting for pushes

What callers saw: requests handled by replaced settings, and requests at servers that had left, at hosts whose region had lost the two hosts that follow the store, or whose store did not answer these two.

Cause: all hosts but two a region believe what they were told last. Nothing measures how old that is, and the others take over only after heartbeats of 3 s have been missed; a reader that is suspended, starved or refused is missed by nobody.

Change: each host keeps the instant up to which each of its tables is proven to be complete (StoreFreshness). Responses of the store prove the instant of the request, and a long poll that ends without changes that of its end. A host whose proof is older than 1.2 s asks a host that follows the store (/peer/freshness), and from 1.5 s on reads the changes from the store itself. FreshnessPolicy decides, without I/O. A host that does not answer is not trusted for 3 s, so that its successors follow the store at once. Long polls end when the last proof is 1 s old, and a reader without a response of the store for 1.6 s tells others that the store is not reachable. A host of an earlier release answers 404 and is not asked for 30 s; its region gets readers of this release beside it.

Evidence: LostReadersTest failed before, 2 of 2 runs (after 20 s the others did not know), and passes.

Why it works: a host needs no one else to notice a fault. The age at which it asks, the deadline of the question and that of the call to the store add up to less than the bound of 2.5 s.

--- a/core/src/main/java/org/redwingladder/steering/StoreReaderSelector.java
+++ b/core/src/main/java/org/redwingladder/steering/StoreReaderSelector.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Selects the hosts that poll the platform's store.
@@ -25,23 +26,36 @@
     /** Returns whether the host named {@code self} polls the store; true if it is not alive yet. */
     public static boolean isReader(
             String self, Collection<HostState> alive, Map<String, String> regionOfZone) {
-        Map<String, HostState> byName = new HashMap<>();
+        @Nullable HostState own = null;
         for (HostState host : alive) {
-            byName.put(host.name(), host);
+            if (host.name().equals(self)) {
+                own = host;
+            }
         }
-        HostState own = byName.get(self);
         if (own == null) {
             return true;
         }
         String region = regionOfZone.get(own.zone());
+        return region != null
+                && readers(region, alive, regionOfZone).stream()
+                        .anyMatch(host -> host.name().equals(self));
+    }
+
+    /** Returns the hosts of a region that poll the store. */
+    public static List<HostState> readers(
+            String region, Collection<HostState> alive, Map<String, String> regionOfZone) {
+        Map<String, HostState> byName = new HashMap<>();
+        for (HostState host : alive) {
+            if (region.equals(regionOfZone.get(host.zone()))) {
+                byName.put(host.name(), host);
+            }
+        }
         List<HostState> ordered = new ArrayList<>();
         for (String name : RendezvousHash.rank(KEY, byName.keySet())) {
-            HostState host = byName.get(name);
-            if (region != null && region.equals(regionOfZone.get(host.zone()))) {
-                ordered.add(host);
-            }
+            ordered.add(byName.get(name));
         }
-        return selectReaders(ordered).contains(self);
+        Set<String> names = selectReaders(ordered);
+        return ordered.stream().filter(host -> names.contains(host.name())).toList();
     }
 
     private static Set<String> selectReaders(List<HostState> ordered) {
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -18,7 +18,6 @@
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.LookupHostSelector;
-import org.redwingladder.steering.StoreReaderSelector;
 import org.redwingladder.supervisor.Supervisor;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -82,6 +81,7 @@
     private final RequestRouter mRouter;
     private final StoreReplica mReplica;
     private final GossipService mGossip;
+    private final FreshnessService mFreshness;
     private final HostRegistration mRegistration;
     private final ProxyHandler mProxy;
     private final RequestRateMeter mRequestRates = new RequestRateMeter(System.nanoTime());
@@ -133,6 +133,9 @@
                         mThread,
                         log,
                         mMetrics);
+        mFreshness =
+                new FreshnessService(
+                        config, mMembers, mReplica, mHttpClient, mThread, log, mMetrics);
         mRegistration = new HostRegistration(config.host(), mMembers, mThread, log);
         mProxy =
                 new ProxyHandler(
@@ -177,7 +180,7 @@
         ConnectionLimits limits = ConnectionLimits.ofDescriptors(mConfig.size().descriptors());
         HttpListener clients = listener("clients", mConfig.clients(), limits.clients(), mProxy);
         mRouter.onSettings(settings -> clients.limits(settings.limits()));
-        mSupervisor.start(listener("peers", mConfig.peers(), limits.peers(), mGossip));
+        mSupervisor.start(listener("peers", mConfig.peers(), limits.peers(), this::handlePeer));
         mSupervisor.start(clients);
         mSupervisor.start(
                 listener("readiness", mConfig.readiness(), limits.readiness(), this::readiness));
@@ -194,6 +197,7 @@
                 () -> {
                     mReplica.start(store, mGossip::pushChanges);
                     mGossip.start(this::nextSelfEntry, this::raiseStartTime);
+                    mFreshness.start(store);
                     mRegistration.start(store, this::nextSelfEntry);
                     mThread.executeAfter(
                             this::runPeriodicTasks, PERIODIC_TASKS_MILLIS, TimeUnit.MILLISECONDS);
@@ -205,6 +209,11 @@
                 .write();
     }
 
+    private void handlePeer(HttpServerExchange exchange) throws Exception {
+        (exchange.getRequestPath().equals(FreshnessService.PATH) ? mFreshness : mGossip)
+                .handleRequest(exchange);
+    }
+
     private HttpListener listener(
             String name, InetSocketAddress address, int maxConnections, HttpHandler handler) {
         ClientConnections connections =
@@ -251,9 +260,7 @@
 
     private void runPeriodicTasks() {
         mRouter.rebalance();
-        mReplica.setWatching(
-                StoreReaderSelector.isReader(
-                        mConfig.host(), mMembers.alive(System.nanoTime()), mConfig.regionOfZone()));
+        mFreshness.updateWatching();
         mThread.executeAfter(this::runPeriodicTasks, PERIODIC_TASKS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -351,6 +358,7 @@
         }
         mProxy.abortAll();
         mReplica.stop();
+        mFreshness.stop();
         mGossip.stop();
         // A client that cannot connect uses another host at once, while a connection that is open
         // when the process ends is reset.
--- a/daemon/src/main/java/org/redwingladder/entry/PeerClient.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerClient.java
@@ -36,6 +36,9 @@
          */
         void read(byte[] body) throws JsonException;
 
+        /** Called if the host runs a release without the path; it is reachable. */
+        default void unsupported() {}
+
         /** Called at the end of the call, also of a failed one. */
         default void ended() {}
     }
@@ -50,6 +53,12 @@
 
     /** Sends a message; the reader is called on the I/O thread. */
     void call(String address, String path, byte[] message, BodyReader reader) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS);
+        call(address, path, message, deadline, reader);
+    }
+
+    /** Sends a message with a deadline; the reader is called on the I/O thread. */
+    void call(String address, String path, byte[] message, long deadlineNanos, BodyReader reader) {
         InetSocketAddress target;
         try {
             target = Addresses.parse(address);
@@ -57,9 +66,8 @@
             callEnded(address, null, e, reader);
             return;
         }
-        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS);
         CallRequest request =
-                CallRequest.of(Methods.POST, target, path, deadline)
+                CallRequest.of(Methods.POST, target, path, deadlineNanos)
                         .body(message)
                         .maxBufferedBytes(MAX_MESSAGE_BYTES);
         mHttpClient
@@ -94,7 +102,7 @@
             return cause == null ? "no response" : String.valueOf(cause.getMessage());
         }
         if (response.status() == NOT_FOUND) {
-            // The host is reachable but runs a release without this path.
+            reader.unsupported();
             return null;
         }
         if (response.status() != 200) {
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -33,6 +33,7 @@
     private final Map<String, DecodedServer> mDecodedServers = new HashMap<>();
     private final Map<String, Long> mLoggedVersions = new HashMap<>();
     private final RegistrationGracePeriod mHold = RegistrationGracePeriod.create();
+    private final StoreFreshness mFreshness = new StoreFreshness(System.nanoTime());
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
     private Map<String, ServerRegistration> mUsedServers = Map.of();
@@ -89,13 +90,20 @@
 
     /** Enables or disables watching the store; peers push changes to a host that does not watch. */
     void setWatching(boolean watching) {
+        mFreshness.watching(watching, System.nanoTime());
         mWatchers.forEach(
                 (table, watcher) -> watcher.setWatching(watching, mReplicas.get(table).position()));
     }
 
-    /** Returns whether the last calls to the store succeeded. */
+    /** Returns whether the last calls to the store succeeded and none has been out for long. */
     boolean storeReachable() {
-        return mWatchers.values().stream().noneMatch(TableWatcher::lastFailed);
+        return mWatchers.values().stream().noneMatch(TableWatcher::lastFailed)
+                && !mFreshness.readerOutdated(System.nanoTime());
+    }
+
+    /** Returns the instants up to which the tables are proven to be up to date. */
+    StoreFreshness freshness() {
+        return mFreshness;
     }
 
     /** Returns whether requests can be routed: settings and servers are known. */
@@ -196,6 +204,11 @@
         }
     }
 
+    @Override
+    public void proven(StoreTable table, long provenNanos) {
+        mFreshness.provenByStore(table, provenNanos);
+    }
+
     /** Installs a peer's snapshot of a table if it is newer than the replica. */
     void installSnapshot(PeerMessages.TableSnapshot snapshot) {
         StoreTable table = snapshot.table();
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -15,8 +15,11 @@
  * after the current position, the whole table is read again.
  */
 final class TableWatcher {
-    /** Bounds how long a dead connection that was not reset can hide changes. */
-    private static final long LONG_POLL_MILLIS = 2_000;
+    /**
+     * The age of the last proof that the table is up to date at which a long poll ends. Exceeds no
+     * age from which hosts ask for another proof.
+     */
+    private static final long PROOF_PERIOD_MILLIS = 1_000;
 
     /** Network and store time beyond the wait of a long poll; a slow store takes 250 ms. */
     private static final long LONG_POLL_SLACK_MILLIS = 1_000;
@@ -46,6 +49,7 @@
     private boolean mTableRead;
     private boolean mReading;
     private long mPolledPosition;
+    private long mProvenNanos = System.nanoTime();
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
@@ -66,6 +70,12 @@
 
         /** Called when watching is disabled, because peers push the changes of the table. */
         void watchDisabled(StoreTable table);
+
+        /**
+         * Called after rows were delivered, with the latest instant up to which they are certain to
+         * contain all confirmed changes.
+         */
+        default void proven(StoreTable table, long provenNanos) {}
     }
 
     TableWatcher(
@@ -137,10 +147,11 @@
         long generation = ++mGeneration;
         mRetry = null;
         mReading = true;
+        long now = System.nanoTime();
         mStore.readTable(
                 mTable,
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
-                new ResponseCallback(generation, true));
+                now + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
+                new ResponseCallback(generation, true, now, 0));
     }
 
     void stop() {
@@ -163,20 +174,22 @@
         long generation = ++mGeneration;
         mReading = false;
         mPolledPosition = position;
+        long now = System.nanoTime();
+        long proofAge = TimeUnit.NANOSECONDS.toMillis(now - mProvenNanos);
+        long wait = Math.clamp(PROOF_PERIOD_MILLIS - proofAge, 0, PROOF_PERIOD_MILLIS);
         mStore.pollChanges(
                 mTable,
                 position,
-                LONG_POLL_MILLIS,
-                System.nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(LONG_POLL_MILLIS + LONG_POLL_SLACK_MILLIS),
-                new ResponseCallback(generation, false));
+                wait,
+                now + TimeUnit.MILLISECONDS.toNanos(wait + LONG_POLL_SLACK_MILLIS),
+                new ResponseCallback(generation, false, now, wait));
     }
 
-    private void scheduleWatch(long position) {
+    private void scheduleWatch(long position, long delayMillis) {
         if (mWatching) {
             mRetry =
                     mThread.executeAfter(
-                            () -> watchFrom(position), COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+                            () -> watchFrom(position), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -204,9 +217,14 @@
         private final long mCallGeneration;
         private final boolean mSnapshot;
 
-        ResponseCallback(long generation, boolean snapshot) {
+        private final long mSentNanos;
+        private final long mWaitMillis;
+
+        ResponseCallback(long generation, boolean snapshot, long sentNanos, long waitMillis) {
             mCallGeneration = generation;
             mSnapshot = snapshot;
+            mSentNanos = sentNanos;
+            mWaitMillis = waitMillis;
         }
 
         @Override
@@ -238,7 +256,21 @@
                 scheduleRetry();
                 return;
             }
-            scheduleWatch(position);
+            // Without a change the store answers at the end of the wait.
+            long waitEndNanos = mSentNanos + TimeUnit.MILLISECONDS.toNanos(mWaitMillis);
+            boolean waited =
+                    mWaitMillis > 0
+                            && read.rows().isEmpty()
+                            && System.nanoTime() - waitEndNanos >= 0;
+            recordProof(waited ? waitEndNanos : mSentNanos);
+            scheduleWatch(position, waited ? 0 : COALESCE_MILLIS);
+        }
+
+        private void recordProof(long provenNanos) {
+            if (provenNanos - mProvenNanos > 0) {
+                mProvenNanos = provenNanos;
+            }
+            mListener.proven(mTable, provenNanos);
         }
 
         private void logRead(String event, VersionedRows read) {
