Finish the calls to the store that are out when a host stops following it

Cause: TableWatcher dropped the responses of calls that were out at the end of watching, also that of the reading which was to mend the lost history, and changes that the next readers may not get.

Change: these responses are delivered; their failure no longer counts, as it says nothing about a host that relies on others.

Evidence: two of the three new tests failed before (no delivery of the reading and of the changes); all pass.

Why it works: rows are applied by position, so that a late response can only add changes.

--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -128,10 +128,12 @@
         }
     }
 
-    /** Resets the result of the last call too, which becomes stale without further calls. */
+    /**
+     * Resets the result of the last call too, which becomes stale without further calls. The
+     * response of a call in flight is still delivered, since it may hold changes that no other host
+     * has read.
+     */
     private void disableWatch() {
-        mGeneration++;
-        mReading = false;
         if (mRetry != null) {
             mRetry.remove();
             mRetry = null;
@@ -194,6 +196,10 @@
     }
 
     private void recordSuccess() {
+        if (!mWatching && mTableRead) {
+            mListener.callSucceeded(mTable);
+            return;
+        }
         mLastFailed = false;
         mTableRead = true;
         mFailureLogged = false;
@@ -298,6 +304,9 @@
                 readTable();
                 return;
             }
+            if (!mWatching && mTableRead) {
+                return;
+            }
             mHealthy = false;
             if (!mFailureLogged) {
                 mFailureLogged = true;
@@ -309,9 +318,7 @@
             }
             mLastFailed = true;
             mListener.callFailed(mTable);
-            if (mWatching || !mTableRead) {
-                scheduleRetry();
-            }
+            scheduleRetry();
         }
     }
 }
--- a/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/TableWatcherTest.java
@@ -118,6 +118,42 @@
         }
     }
 
+    @Nested
+    class CallsThatAreOutWhenWatchingEnds {
+        /** The host would keep what it had before the lost history until others are ahead of it. */
+        @Test
+        void deliverAReadingAfterLostHistory() throws Exception {
+            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(
+                    () -> mStore.failPoll(StoreTable.SERVERS, StoreException.Reason.HISTORY_LOST));
+            mThread.run(() -> mWatcher.setWatching(false, 10));
+            mThread.run(() -> mStore.completeRead(StoreTable.SERVERS, 12));
+            assertThat(mPositions).containsExactly(10L, 12L);
+            assertThat(mWatcher.healthy()).isFalse();
+        }
+
+        /** The hosts that follow next may begin after the change. */
+        @Test
+        void deliverChanges() throws Exception {
+            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(false, 10));
+            mThread.run(() -> mStore.completePoll(StoreTable.SERVERS, 11));
+            assertThat(mPositions).containsExactly(10L, 11L);
+            TimeUnit.MILLISECONDS.sleep(300);
+            assertThat(mThread.call(TableWatcherTest.this::pollPending)).isFalse();
+        }
+
+        @Test
+        void doNotCountIfTheyFail() throws Exception {
+            mThread.run(() -> mWatcher.setWatching(true, 10));
+            mThread.run(() -> mWatcher.setWatching(false, 10));
+            mThread.run(() -> mStore.failPoll(StoreTable.SERVERS, StoreException.Reason.NO_ANSWER));
+            assertThat(mWatcher.lastFailed()).isFalse();
+            TimeUnit.MILLISECONDS.sleep(300);
+            assertThat(mThread.call(() -> mStore.readPending(StoreTable.SERVERS))).isFalse();
+        }
+    }
+
     @Nested
     class Listeners {
         private void completePollThatFails() throws Exception {
