--- a/daemon/src/test/java/org/redwingladder/entry/FreshnessServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/FreshnessServiceTest.java
@@ -98,12 +98,19 @@
                                 true,
                                 List.of(
                                         new FreshnessMessages.Statement(
-                                                StoreTable.CONTROL, 60, 0, 0L),
+                                                StoreTable.CONTROL, version(60), version(0), 0L),
                                         new FreshnessMessages.Statement(
-                                                StoreTable.SERVERS, 60, changed, 0L)),
+                                                StoreTable.SERVERS,
+                                                version(60),
+                                                version(changed),
+                                                0L)),
                                 List.of()));
     }
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(0, number);
+    }
+
     private void awaitQuestion() throws Exception {
         mThread.await(() -> !mPeer.receivedRequests().isEmpty());
     }
@@ -120,7 +127,7 @@
             awaitQuestion();
             TimeUnit.SECONDS.sleep(2);
             assertThat(mClient.polls()).isZero();
-            assertThat(mReplica.table(StoreTable.SERVERS).position()).isEqualTo(60);
+            assertThat(mReplica.table(StoreTable.SERVERS).position()).isEqualTo(version(60));
         }
 
         /** A host that lacks a change would take its table for up to date. */
@@ -169,14 +176,15 @@
 
         private FreshnessMessages.Answer answerTo(long position) throws Exception {
             return PeerCodec.decode(
-                    ask(new FreshnessMessages.Question(Map.of(StoreTable.SERVERS, position)))
+                    ask(new FreshnessMessages.Question(
+                                    Map.of(StoreTable.SERVERS, version(position))))
                             .body(),
                     FreshnessMessages.Answer.class);
         }
 
         @Test
         void areAnsweredWithTheChangesThatTheOtherHostLacks() throws Exception {
-            mThread.await(() -> mReplica.table(StoreTable.SERVERS).position() == 1);
+            mThread.await(() -> mReplica.table(StoreTable.SERVERS).position().equals(version(1)));
             assertThat(answerTo(0).snapshots())
                     .filteredOn(snapshot -> snapshot.table() == StoreTable.SERVERS)
                     .singleElement()
