Test messages between hosts with and without eras

GossipServiceTest: a peer with a later era and a lower version is asked for its tables, one without an era is not. PeerCodecTest: changes of a host of the build before, which sends no eras, are read as of era 0.

--- a/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
@@ -131,13 +131,32 @@
         return false;
     }
 
+    private static PeerMessages.GossipMessage exchange(String peerAddress, long number, long era) {
+        HostState host =
+                new HostState(
+                        "odd", 1, 1, "z1", peerAddress, "10.0.0.1:80", true, true, 1, Map.of());
+        return new PeerMessages.GossipMessage(
+                "odd", List.of(host), number, number, 0, null, era, era);
+    }
+
+    @Nested
+    class Exchanges {
+        /** After a restore of the store the newer table has the lower versions. */
+        @Test
+        void withALaterEraFetchSnapshotsAlthoughTheirVersionsAreLower() throws Exception {
+            assertThat(push(0)).isEqualTo(200);
+            String address = Addresses.format(mPeer.address());
+            assertThat(send("/peer/exchange", exchange(address, 1, 0))).isEqualTo(200);
+            assertThat(mPeer.receivedRequests()).isEmpty();
+            assertThat(send("/peer/exchange", exchange(address, 1, 2))).isEqualTo(200);
+            assertThat(received("/peer/copy")).isTrue();
+        }
+    }
+
     @Nested
     class OddMessages {
         private PeerMessages.GossipMessage message(String peerAddress) {
-            HostState host =
-                    new HostState(
-                            "odd", 1, 1, "z1", peerAddress, "10.0.0.1:80", true, true, 1, Map.of());
-            return new PeerMessages.GossipMessage("odd", List.of(host), 99, 99, 0, null, 0, 0);
+            return exchange(peerAddress, 99, 0);
         }
 
         /** A snapshot request that could not be sent was never seen to end. */
--- a/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
@@ -42,6 +42,32 @@
                 4);
     }
 
+    @Nested
+    class EarlierBuilds {
+        /** Hosts of two builds run side by side during an update. */
+        @Test
+        void sendChangesWithoutAnEra() throws Exception {
+            byte[] sent =
+                    PeerCodec.encode(
+                            Map.of(
+                                    "table",
+                                    "SERVERS",
+                                    "after",
+                                    7,
+                                    "position",
+                                    9,
+                                    "holdMillis",
+                                    0,
+                                    "rows",
+                                    List.of()));
+            PeerMessages.TableChanges read =
+                    PeerCodec.decode(sent, PeerMessages.TableChanges.class);
+            assertThat(read.afterVersion()).isEqualTo(new StoreVersion(0, 7));
+            assertThat(read.version()).isEqualTo(new StoreVersion(0, 9));
+            assertThat(read.difference()).isFalse();
+        }
+    }
+
     @Nested
     class RoundTrip {
         /** Guards against entries that are lost or altered by the encoding. */
