Name a restore of the store as the cause of a refusal

explain joined the lines of the store's state but never named a restore, or servers whose rows are back, as what took servers from a request.

Evidence: ExplainCommandTest$RestoredStore failed before.

--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -14,7 +14,14 @@
 
     /** What can take servers away from a request. */
     private static final Set<String> SERVER_CHANGES =
-            Set.of("evacuated", "servers", "server-ejected", "server-limit", "server-limit-ended");
+            Set.of(
+                    "evacuated",
+                    "servers",
+                    "server-ejected",
+                    "server-limit",
+                    "server-limit-ended",
+                    "restored",
+                    "returned-servers-unused");
 
     /** A server whose answers take this much longer than usual, in percent, is named slow. */
     private static final long SLOW_PERCENT = 150;
--- a/tool/src/test/java/org/redwingladder/tool/ExplainCommandTest.java
+++ b/tool/src/test/java/org/redwingladder/tool/ExplainCommandTest.java
@@ -193,6 +193,22 @@
         }
     }
 
+    @Nested
+    class RestoredStore {
+        /** Nothing else tells that servers are not used because the store went back. */
+        @Test
+        void isNamedAsTheLastChangeOfTheServers() throws Exception {
+            String refused = "\"reason\":\"NO_SERVER\",\"wait\":0,\"allowed\":0,\"servers\":0";
+            String restored =
+                    "{\"part\":\"store\",\"event\":\"restored\",\"host\":\"h1\",\"time\":1000,"
+                            + "\"table\":\"SERVERS\",\"position\":900,\"to\":300,\"era\":2}";
+            String file = log("h1", restored, request("refused", "h1", 2_000, "r6", 0, refused));
+            assertThat(explain("r6", file)).isZero();
+            assertThat(out())
+                    .contains("last change: 1000 h1 store: restored table=SERVERS position=900");
+        }
+    }
+
     @Nested
     class Reading {
         /** Guards against an incomplete view of a request that two hosts had. */
