Log the restore of a table, and push the changes of any own reading

The line store restored tells from which position to which one the table of a host went, and in which era. A whole reading of a host that does not follow the store is pushed again, except one at the news of a host of the build before: all hosts of the region read the table at the same news then, and would push the same changes to each other.

--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,10 @@
     private final RestoredStateGuard mGuard = RestoredStateGuard.create();
     private final UsableServers mServers;
     private final StoreEra mEra;
-    private boolean mWatching;
+
+    /** Tables that all hosts of the region read at the same news, so that none pushes changes. */
+    private final Set<StoreTable> mReadForPeers = EnumSet.noneOf(StoreTable.class);
+
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
     private boolean mServersKnown;
@@ -76,7 +80,9 @@
 
     /** Enables or disables watching the store; peers push changes to a host that does not watch. */
     void setWatching(boolean watching) {
-        mWatching = watching;
+        if (watching) {
+            mReadForPeers.clear();
+        }
         mWatchers.forEach(
                 (table, watcher) -> watcher.setWatching(watching, mReplicas.get(table).position()));
     }
@@ -119,7 +125,7 @@
         raiseEra(position.era(), StoreEra.Source.STORE);
         boolean firstSnapshot = after.equals(StoreVersion.NONE);
         recordRestore(table, after);
-        if (!firstSnapshot && mWatching) {
+        if (!firstSnapshot && !mReadForPeers.remove(table)) {
             publish(table, after, position, changes, true);
         }
         decodeTable(table, UsableServers.Source.STORE);
@@ -198,7 +204,9 @@
                 && version.era() == 0
                 && mEra.current() > 0
                 && version.number() > replica.position().number()) {
-            watcher.readUnwatched();
+            if (watcher.readUnwatched()) {
+                mReadForPeers.add(table);
+            }
         }
     }
 
@@ -218,6 +226,12 @@
         if (before.equals(StoreVersion.NONE) || before.era() == replica.position().era()) {
             return;
         }
+        mLog.event("store", "restored")
+                .with("table", table)
+                .with("to", replica.position().number())
+                .with("position", before.number())
+                .with("era", replica.position().era())
+                .write();
         long now = System.nanoTime();
         if (table == StoreTable.CONTROL) {
             mGuard.controlRestored(now);
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -168,15 +168,17 @@
         }
     }
 
-    /** Reads the table once in a while if this host does not watch it. */
-    void readUnwatched() {
+    /** Reads the table if this host does not watch it and has not just read it in this way. */
+    boolean readUnwatched() {
         long now = System.nanoTime();
         boolean recent = mExtraRead && now - mNextExtraReadNanos < 0;
-        if (!mWatching && mTableRead && !mReading && !recent && !mStopped) {
-            mExtraRead = true;
-            mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
-            readTable();
+        if (mWatching || !mTableRead || mReading || recent || mStopped) {
+            return false;
         }
+        mExtraRead = true;
+        mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
+        readTable();
+        return true;
     }
 
     void stop() {
