--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessMessages.java
@@ -13,7 +13,7 @@
      *
      * @param positions the positions of the sender's replicas
      */
-    record Question(Map<StoreTable, Long> positions) {
+    record Question(Map<StoreTable, StoreVersion> positions) {
         Question {
             positions = Map.copyOf(positions);
         }
@@ -27,7 +27,11 @@
      * @param changed the version of the last change that it contains
      * @param ageMillis how long ago it was proven to contain all confirmed changes, null if never
      */
-    record Statement(StoreTable table, long position, long changed, @Nullable Long ageMillis) {}
+    record Statement(
+            StoreTable table,
+            StoreVersion position,
+            StoreVersion changed,
+            @Nullable Long ageMillis) {}
 
     /**
      * The answer to a {@link Question}.
--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -132,7 +132,7 @@
 
     private void askHost(HostState host, long deadlineNanos, long sentNanos) {
         mMetrics.count("freshness.questions");
-        Map<StoreTable, Long> positions = new EnumMap<>(StoreTable.class);
+        Map<StoreTable, StoreVersion> positions = new EnumMap<>(StoreTable.class);
         TABLES.forEach(table -> positions.put(table, mReplica.table(table).position()));
         mPeers.call(
                 host.peerAddress(),
@@ -172,8 +172,10 @@
                         mSentNanos - proven
                                 >= FreshnessPolicy.ASK_AGE_NANOS
                                         + FreshnessPolicy.QUESTION_TIMEOUT_NANOS;
+                mReplica.peerVersionSeen(statement.table(), statement.position());
                 TableReplica replica = mReplica.table(statement.table());
-                if (replica.position() >= statement.changed()) {
+                if (replica.position().era() == statement.position().era()
+                        && !statement.changed().isNewerThan(replica.position())) {
                     replica.apply(List.of(), statement.position());
                     mFreshness.provenByHost(statement.table(), proven);
                 }
@@ -217,12 +219,13 @@
         mStoreCalls = TABLES.size();
         for (StoreTable table : TABLES) {
             mMetrics.count("freshness.store-calls");
+            StoreVersion position = mReplica.table(table).position();
             store.pollChanges(
                     table,
-                    mReplica.table(table).position(),
+                    position.number(),
                     0,
                     deadlineNanos,
-                    new StoreReader(store, table, false));
+                    new StoreReader(store, table, position));
         }
     }
 
@@ -230,43 +233,69 @@
     private final class StoreReader implements StoreClient.Callback<VersionedRows> {
         private final StoreClient mClient;
         private final StoreTable mTable;
-        private final boolean mSnapshot;
+        private final @Nullable StoreVersion mAfter;
         private final long mSentNanos = System.nanoTime();
 
-        StoreReader(StoreClient client, StoreTable table, boolean snapshot) {
+        /**
+         * Creates a callback.
+         *
+         * @param after the position after which changes are read, null if the whole table is
+         */
+        StoreReader(StoreClient client, StoreTable table, @Nullable StoreVersion after) {
             mClient = client;
             mTable = table;
-            mSnapshot = snapshot;
+            mAfter = after;
         }
 
         @Override
         public void succeeded(VersionedRows read) {
-            mReplica.callSucceeded(mTable);
-            try {
-                long position = read.position().number();
-                boolean current = true;
-                if (mSnapshot) {
-                    current = mReplica.replace(mTable, read.rows(), position);
-                } else {
-                    mReplica.apply(mTable, read.rows(), position);
-                }
-                if (current) {
-                    mFreshness.provenByStore(mTable, mSentNanos);
+            StoreVersion position = read.position();
+            if (position.era() < mReplica.era()) {
+                mReplica.earlierEraSeen(mTable, position);
+                fail();
+            } else if (mAfter != null && position.era() != mAfter.era()) {
+                // The changes follow a table that this host never had.
+                readTable(position.era());
+            } else {
+                mReplica.callSucceeded(mTable);
+                try {
+                    deliver(read);
+                } finally {
+                    storeCallEnded();
                 }
-            } finally {
-                storeCallEnded();
             }
         }
 
+        private void deliver(VersionedRows read) {
+            boolean current = true;
+            if (mAfter == null) {
+                current = mReplica.replace(mTable, read.rows(), read.position());
+            } else {
+                mReplica.apply(mTable, read.rows(), read.position());
+            }
+            if (current) {
+                mFreshness.provenByStore(mTable, mSentNanos);
+            }
+        }
+
+        private void readTable(long era) {
+            mReplica.eraSeen(era);
+            mClient.readTable(
+                    mTable,
+                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
+                    new StoreReader(mClient, mTable, null));
+        }
+
         @Override
         public void failed(StoreException cause) {
-            if (cause.reason() == StoreException.Reason.HISTORY_LOST && !mSnapshot) {
-                mClient.readTable(
-                        mTable,
-                        System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
-                        new StoreReader(mClient, mTable, true));
-                return;
+            if (cause.reason() == StoreException.Reason.HISTORY_LOST && mAfter != null) {
+                readTable(cause.era());
+            } else {
+                fail();
             }
+        }
+
+        private void fail() {
             mReplica.callFailed(mTable);
             mStoreCallFailed = true;
             storeCallEnded();
@@ -323,7 +352,7 @@
     private FreshnessMessages.Answer answerTo(FreshnessMessages.Question question) {
         long now = System.nanoTime();
         List<FreshnessMessages.Statement> statements = new ArrayList<>();
-        Map<StoreTable, Long> known = new EnumMap<>(StoreTable.class);
+        Map<StoreTable, StoreVersion> known = new EnumMap<>(StoreTable.class);
         for (StoreTable table : TABLES) {
             TableReplica replica = mReplica.table(table);
             var age = mFreshness.ageMillis(table, now);
@@ -333,8 +362,11 @@
                             replica.position(),
                             replica.lastChange(),
                             age.isPresent() ? age.getAsLong() : null));
-            long position = question.positions().getOrDefault(table, -1L);
-            known.put(table, position >= replica.lastChange() ? replica.position() : position);
+            StoreVersion position = question.positions().getOrDefault(table, StoreVersion.NONE);
+            boolean complete =
+                    position.era() == replica.position().era()
+                            && !replica.lastChange().isNewerThan(position);
+            known.put(table, complete ? replica.position() : position);
         }
         return new FreshnessMessages.Answer(
                 mFreshness.watching(), statements, mReplica.snapshotsAfter(known));
