--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -172,13 +172,13 @@
                         mSentNanos - proven
                                 >= FreshnessPolicy.ASK_AGE_NANOS
                                         + FreshnessPolicy.QUESTION_TIMEOUT_NANOS;
+                mReplica.peerVersionSeen(statement.table(), statement.position());
                 TableReplica replica = mReplica.table(statement.table());
                 if (replica.position().era() == statement.position().era()
                         && !statement.changed().isNewerThan(replica.position())) {
                     replica.apply(List.of(), statement.position());
                     mFreshness.provenByHost(statement.table(), proven);
                 }
-                mReplica.peerVersionSeen(statement.table(), statement.position());
             }
             mAnswered = true;
             mPolicy.hostAnswered(
@@ -225,7 +225,7 @@
                     position.number(),
                     0,
                     deadlineNanos,
-                    new StoreReader(store, table, position, false));
+                    new StoreReader(store, table, position));
         }
     }
 
@@ -233,15 +233,18 @@
     private final class StoreReader implements StoreClient.Callback<VersionedRows> {
         private final StoreClient mClient;
         private final StoreTable mTable;
-        private final StoreVersion mAfter;
-        private final boolean mSnapshot;
+        private final @Nullable StoreVersion mAfter;
         private final long mSentNanos = System.nanoTime();
 
-        StoreReader(StoreClient client, StoreTable table, StoreVersion after, boolean snapshot) {
+        /**
+         * Creates a callback.
+         *
+         * @param after the position after which changes are read, null if the whole table is
+         */
+        StoreReader(StoreClient client, StoreTable table, @Nullable StoreVersion after) {
             mClient = client;
             mTable = table;
             mAfter = after;
-            mSnapshot = snapshot;
         }
 
         @Override
@@ -249,36 +252,30 @@
             StoreVersion position = read.position();
             if (position.era() < mReplica.era()) {
                 mReplica.earlierEraSeen(mTable, position);
-                callFailed();
-                return;
-            }
-            mReplica.callSucceeded(mTable);
-            if (!mSnapshot && position.era() != mAfter.era()) {
+                fail();
+            } else if (mAfter != null && position.era() != mAfter.era()) {
+                // The changes follow a table that this host never had.
                 readTable(position.era());
-                return;
-            }
-            try {
-                boolean current = true;
-                if (mSnapshot) {
-                    current = mReplica.replace(mTable, read.rows(), position);
-                } else {
-                    mReplica.apply(mTable, read.rows(), position);
-                }
-                if (current) {
-                    mFreshness.provenByStore(mTable, mSentNanos);
+            } else {
+                mReplica.callSucceeded(mTable);
+                try {
+                    deliver(read);
+                } finally {
+                    storeCallEnded();
                 }
-            } finally {
-                storeCallEnded();
             }
         }
 
-        @Override
-        public void failed(StoreException cause) {
-            if (cause.reason() == StoreException.Reason.HISTORY_LOST && !mSnapshot) {
-                readTable(cause.era());
-                return;
+        private void deliver(VersionedRows read) {
+            boolean current = true;
+            if (mAfter == null) {
+                current = mReplica.replace(mTable, read.rows(), read.position());
+            } else {
+                mReplica.apply(mTable, read.rows(), read.position());
+            }
+            if (current) {
+                mFreshness.provenByStore(mTable, mSentNanos);
             }
-            callFailed();
         }
 
         private void readTable(long era) {
@@ -286,10 +283,19 @@
             mClient.readTable(
                     mTable,
                     System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
-                    new StoreReader(mClient, mTable, mAfter, true));
+                    new StoreReader(mClient, mTable, null));
         }
 
-        private void callFailed() {
+        @Override
+        public void failed(StoreException cause) {
+            if (cause.reason() == StoreException.Reason.HISTORY_LOST && mAfter != null) {
+                readTable(cause.era());
+            } else {
+                fail();
+            }
+        }
+
+        private void fail() {
             mReplica.callFailed(mTable);
             mStoreCallFailed = true;
             storeCallEnded();
@@ -357,9 +363,10 @@
                             replica.lastChange(),
                             age.isPresent() ? age.getAsLong() : null));
             StoreVersion position = question.positions().getOrDefault(table, StoreVersion.NONE);
-            known.put(
-                    table,
-                    replica.lastChange().isNewerThan(position) ? position : replica.position());
+            boolean complete =
+                    position.era() == replica.position().era()
+                            && !replica.lastChange().isNewerThan(position);
+            known.put(table, complete ? replica.position() : position);
         }
         return new FreshnessMessages.Answer(
                 mFreshness.watching(), statements, mReplica.snapshotsAfter(known));
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -30,9 +30,9 @@
     private final Map<StoreTable, TableReplica> mReplicas = new EnumMap<>(StoreTable.class);
     private final Map<StoreTable, TableWatcher> mWatchers = new EnumMap<>(StoreTable.class);
     private final RestoredStateGuard mGuard = RestoredStateGuard.create();
+    private final StoreFreshness mFreshness = new StoreFreshness(System.nanoTime());
     private final UsableServers mServers;
     private final StoreEra mEra;
-    private final StoreFreshness mFreshness = new StoreFreshness(System.nanoTime());
 
     /** Tables that all hosts of the region read at the same news, so that none pushes changes. */
     private final Set<StoreTable> mReadForPeers = EnumSet.noneOf(StoreTable.class);
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -52,9 +52,9 @@
     private boolean mTableRead;
     private boolean mReading;
     private StoreVersion mPolledPosition = StoreVersion.NONE;
+    private long mProvenNanos = System.nanoTime();
     private long mNextExtraReadNanos;
     private boolean mExtraRead;
-    private long mProvenNanos = System.nanoTime();
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
