Handle requests after the messages that were ready with them

Cause: an I/O thread that gets its turn after a delay finds requests, opened connections and news of servers ready at the same time, and handles them in any order. Requests that came first were placed and written by what the host knew before the delay, although the news had arrived.

Change: a request of a client, and a call whose connection has opened, go on after the other ready events and their tasks. This takes three tasks of the thread, as many as pass until a response of the store is applied.

Evidence: DelayedHostTest failed before in each of three runs (3 of 8 requests at the leaving server on new and on open connections), and passed in each of six. With two tasks instead of three it failed in one of two runs. SendConditionTest failed in four of four runs without the change of the HTTP client, in five of five with one task, and passed in each of eleven with three.

Open: retries and hedges are still placed at once.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxyHandler.java
@@ -4,7 +4,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -14,6 +13,7 @@
 import org.redwingladder.http.AsyncHttpClient;
 import org.redwingladder.http.BufferBudget;
 import org.redwingladder.http.BufferedResponse;
+import org.redwingladder.http.ReadyEvents;
 import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseBodyWriter;
 import org.redwingladder.http.StreamedResponse;
@@ -23,6 +23,7 @@
 import org.redwingladder.steering.RouteTable;
 import org.redwingladder.steering.SendResult;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 
 /**
  * Receives client requests, matches them to routes and starts their forwarding; contains what all
@@ -150,10 +151,14 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long now = System.nanoTime();
-        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, now));
+        XnioIoThread thread = exchange.getIoThread();
+        exchange.dispatch(task -> ReadyEvents.runAfter(thread, task), () -> handle(exchange, now));
     }
 
     private void handle(HttpServerExchange exchange, long now) {
+        if (!exchange.getConnection().isOpen()) {
+            return;
+        }
         mMetrics.count("request.received");
         mRefusalGuard.install(exchange);
         if (mStopping.getAsBoolean()) {
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -72,7 +72,8 @@
     }
 
     void connected(PooledConnection connection) {
-        runInThread(
+        ReadyEvents.runAfter(
+                connection.thread(),
                 () -> {
                     if (!mDone) {
                         startTimer(mRequest.deadlineNanos());
