--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -161,6 +161,9 @@
         }
         if (replica.position() < changes.position()) {
             extendHold(changes.holdMillis());
+            if (changes.table() == StoreTable.SERVERS && changes.holdMillis() == 0) {
+                mHold.recordServiceToOthers(System.nanoTime());
+            }
             replica.apply(changes.rows(), changes.position());
             decodeTable(changes.table(), Source.PUSH);
         }
@@ -313,7 +316,7 @@
             mReleaseScheduled = true;
             mThread.executeAfter(
                     this::releaseHeldServers,
-                    mHold.remainingNanos(System.nanoTime()) + 1,
+                    mHold.nanosUntilRelease(System.nanoTime()) + 1,
                     TimeUnit.NANOSECONDS);
         }
     }
