Test that one reader brings a returned store to 100 hosts

ChangePropagationTest$RestoredStore: one host reads the table of a later era with lower versions; its push reaches the 99 others, also the removal of a server that the copy does not have, after the 2 s for which it is kept. With versions alone the others ignore the push.

--- a/daemon/src/test/java/org/redwingladder/entry/ChangePropagationTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/ChangePropagationTest.java
@@ -191,6 +191,29 @@
         }
     }
 
+    @Nested
+    class RestoredStore {
+        /** Hosts kept the rows that the store had lost, whose versions were higher. */
+        @Test
+        void reachesAllHostsIfOneReadsItAlthoughItsVersionsWentBack() throws Exception {
+            Host reader = mHosts.get(0);
+            mThread.run(() -> reader.mReplica.setWatching(true));
+            mThread.run(() -> reader.mStore.losePollHistory(StoreTable.SERVERS, 2));
+            mThread.run(
+                    () -> {
+                        mergeAllMembers(reader);
+                        reader.mStore.completeRead(
+                                StoreTable.SERVERS,
+                                new StoreVersion(2, 5),
+                                TestRowDecoder.ready("s2", 2),
+                                TestRowDecoder.draining("s3", 5));
+                    });
+            // Servers that the copy does not have are kept for 2 s.
+            awaitAll(Set.of("s1", "s2"));
+            awaitAll(Set.of("s2"));
+        }
+    }
+
     @Nested
     class NamedRateLimits {
         private final ServerRegistration mServer =
