--- a/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
+++ b/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
@@ -35,6 +35,9 @@
      */
     private static final int LARGE_REGION_HOSTS = 48;
 
+    /** Keeps the questions to a reader of 312 hosts below 14 a second. */
+    private static final long ASK_AGE_NANOS_PER_HOST = 35_000_000L;
+
     private static final long REPEAT_NANOS = 100_000_000L;
     private static final long DISTRUST_NANOS = 3_000_000_000L;
 
@@ -138,7 +141,7 @@
                 alive.stream()
                         .filter(host -> mRegion.equals(mRegionOfZone.get(host.zone())))
                         .count();
-        return ASK_AGE_NANOS * Math.max(LARGE_REGION_HOSTS, hosts) / LARGE_REGION_HOSTS;
+        return ASK_AGE_NANOS + Math.max(0, hosts - LARGE_REGION_HOSTS) * ASK_AGE_NANOS_PER_HOST;
     }
 
     private @Nullable HostState hostToAsk(Collection<HostState> alive, long nowNanos) {
--- a/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
+++ b/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
@@ -13,6 +13,9 @@
     /** The smallest bound of the deployments for settings and leaving servers. */
     private static final long BOUND_MILLIS = 2_500;
 
+    /** The bound of the target of 7,500 hosts for settings. */
+    private static final long TARGET_BOUND_MILLIS = 15_000;
+
     private static final int STORE_READS_PER_SECOND = 2_000;
     private static final int SEEDS = 10;
 
@@ -42,6 +45,14 @@
             assertThat(oldestMillis(140, 10, fault, true)).as("140 hosts").isLessThan(BOUND_MILLIS);
         }
 
+        /** A region of the target size has as many hosts. */
+        @Test
+        void isYoungerThanTheBoundOfTheTargetInARegionThatLosesItsReaders() {
+            FreshnessSimulation simulation =
+                    new FreshnessSimulation(312, 1, FreshnessSimulation.Fault.LOST, true, 1);
+            assertThat(simulation.oldestMillis()).isLessThan(TARGET_BOUND_MILLIS);
+        }
+
         /** Shows that the simulation notices the fault of hosts that only wait for pushes. */
         @ParameterizedTest
         @EnumSource(
--- a/core/src/test/java/org/redwingladder/steering/FreshnessSimulation.java
+++ b/core/src/test/java/org/redwingladder/steering/FreshnessSimulation.java
@@ -26,6 +26,11 @@
     private static final long FAULT_END = 16_000 * MILLI;
     private static final long END = 22_000 * MILLI;
 
+    /** Hosts of a large region ask less often. */
+    private static final long LARGE_REGION_END = 60_000 * MILLI;
+
+    private static final int LARGE_REGION_HOSTS = 48;
+
     /** What happens to the hosts that follow the store, or to the store itself. */
     enum Fault {
         NONE,
@@ -50,6 +55,7 @@
     private final SplittableRandom mRandom;
     private final Fault mFault;
     private final boolean mQuestions;
+    private final long mEnd;
     private final List<Host> mHosts = new ArrayList<>();
     private final Map<String, String> mRegionOfZone = new HashMap<>();
     private final PriorityQueue<Event> mEvents =
@@ -73,6 +79,7 @@
         mRandom = new SplittableRandom(seed);
         mFault = fault;
         mQuestions = questions;
+        mEnd = hosts / regions > LARGE_REGION_HOSTS ? LARGE_REGION_END : END;
         for (int i = 0; i < hosts; i++) {
             String zone = "z" + i % (2 * regions);
             mRegionOfZone.put(zone, "r" + i % regions);
@@ -98,7 +105,7 @@
             at(mRandom.nextLong(CHECK), host::check);
             at(mRandom.nextLong(PERIODIC_TASKS), host::periodic);
         }
-        while (mNow < END) {
+        while (mNow < mEnd) {
             Event event = mEvents.remove();
             mNow = event.nanos();
             event.action().run();
--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -81,9 +81,7 @@
         mStore = store;
         for (StoreTable table : TABLES) {
             String name = table == StoreTable.CONTROL ? "control" : "servers";
-            mMetrics.gauge(
-                    "store.age." + name,
-                    () -> mFreshness.ageMillis(table, System.nanoTime()).orElse(-1));
+            mMetrics.gauge("store.age." + name, () -> mFreshness.loggedAge(table));
         }
         check();
     }
@@ -325,8 +323,8 @@
         }
         mNextLogNanos = now + LOG_PERIOD_NANOS;
         mLog.event("store", event)
-                .with("controlAge", mFreshness.ageMillis(StoreTable.CONTROL, now).orElse(-1))
-                .with("serversAge", mFreshness.ageMillis(StoreTable.SERVERS, now).orElse(-1))
+                .with("controlAge", mFreshness.loggedAge(StoreTable.CONTROL))
+                .with("serversAge", mFreshness.loggedAge(StoreTable.SERVERS))
                 .with("asked", asked)
                 .with("result", result)
                 .write();
--- a/daemon/src/main/java/org/redwingladder/entry/StoreFreshness.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreFreshness.java
@@ -68,6 +68,11 @@
                 : OptionalLong.of(TimeUnit.NANOSECONDS.toMillis(nowNanos - proven) + 1);
     }
 
+    /** Returns the present age of the proof of a table in milliseconds, -1 without one. */
+    long loggedAge(StoreTable table) {
+        return ageMillis(table, System.nanoTime()).orElse(-1);
+    }
+
     /** Returns the instant of the last proof of a table, or of the start if there is none. */
     long provenNanos(StoreTable table) {
         return mProvenNanos.getOrDefault(table, mStartNanos);
--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -50,7 +50,7 @@
         mLog = log;
         mEra = new StoreEra(log);
         mListener = listener;
-        mServers = new UsableServers(mGuard, thread, log, listener);
+        mServers = new UsableServers(mGuard, mFreshness, thread, log, listener);
         mReplicas.put(StoreTable.CONTROL, new TableReplica());
         mReplicas.put(StoreTable.SERVERS, new TableReplica());
     }
@@ -345,6 +345,7 @@
         mLog.event("state", "settings")
                 .with("version", settings.version())
                 .with("routes", settings.routes().size())
+                .with("proofAge", mFreshness.loggedAge(StoreTable.CONTROL))
                 .write();
         mListener.settingsChanged(settings);
     }
--- a/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
+++ b/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
@@ -16,6 +16,7 @@
 final class UsableServers {
     private final XnioIoThread mThread;
     private final EventLog mLog;
+    private final StoreFreshness mFreshness;
     private final Listener mListener;
     private final RestoredStateGuard mGuard;
     private final RegistrationGracePeriod mHold = RegistrationGracePeriod.create();
@@ -37,10 +38,16 @@
         HOLD_END
     }
 
-    UsableServers(RestoredStateGuard guard, XnioIoThread thread, EventLog log, Listener listener) {
+    UsableServers(
+            RestoredStateGuard guard,
+            StoreFreshness freshness,
+            XnioIoThread thread,
+            EventLog log,
+            Listener listener) {
         mGuard = guard;
         mThread = thread;
         mLog = log;
+        mFreshness = freshness;
         mListener = listener;
     }
 
@@ -128,6 +135,7 @@
                     .with("servers", departed)
                     .with("position", mPosition.number())
                     .with("source", source)
+                    .with("proofAge", mFreshness.loggedAge(StoreTable.SERVERS))
                     .write();
         }
         mListener.serversChanged(servers);
