--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,10 @@
     private final StoreFreshness mFreshness = new StoreFreshness(System.nanoTime());
     private final UsableServers mServers;
     private final StoreEra mEra;
+
+    /** Tables that all hosts of the region read at the same news, so that none pushes changes. */
+    private final Set<StoreTable> mReadForPeers = EnumSet.noneOf(StoreTable.class);
+
     private @Nullable SteeringSettings mSettings;
     private Set<String> mEvacuated = Set.of();
     private boolean mServersKnown;
@@ -77,6 +82,9 @@
     /** Enables or disables watching the store; peers push changes to a host that does not watch. */
     void setWatching(boolean watching) {
         mFreshness.watching(watching, System.nanoTime());
+        if (watching) {
+            mReadForPeers.clear();
+        }
         mWatchers.forEach(
                 (table, watcher) -> watcher.setWatching(watching, mReplicas.get(table).position()));
     }
@@ -125,7 +133,7 @@
         raiseEra(position.era(), StoreEra.Source.STORE);
         boolean firstSnapshot = after.equals(StoreVersion.NONE);
         recordRestore(table, after);
-        if (!firstSnapshot && mFreshness.watching()) {
+        if (!firstSnapshot && !mReadForPeers.remove(table)) {
             publish(table, after, position, changes, true);
         }
         decodeTable(table, UsableServers.Source.STORE);
@@ -204,7 +212,9 @@
                 && version.era() == 0
                 && mEra.current() > 0
                 && version.number() > replica.position().number()) {
-            watcher.readUnwatched();
+            if (watcher.readUnwatched()) {
+                mReadForPeers.add(table);
+            }
         }
     }
 
@@ -224,6 +234,12 @@
         if (before.equals(StoreVersion.NONE) || before.era() == replica.position().era()) {
             return;
         }
+        mLog.event("store", "restored")
+                .with("table", table)
+                .with("to", replica.position().number())
+                .with("position", before.number())
+                .with("era", replica.position().era())
+                .write();
         long now = System.nanoTime();
         if (table == StoreTable.CONTROL) {
             mGuard.controlRestored(now);
@@ -251,7 +267,7 @@
             case CONTAINED -> true;
             case GAP -> false;
             case APPLICABLE -> {
-                mServers.extendHold(changes.holdMillis());
+                mServers.recordPush(changes.table(), changes.holdMillis());
                 replica.apply(changes.rows(), changes.version());
                 recordRestore(table, before);
                 decodeTable(table, UsableServers.Source.PUSH);
--- a/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
+++ b/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
@@ -66,6 +66,14 @@
         mHold.extendFromPeer(TimeUnit.MILLISECONDS.toNanos(millis), System.nanoTime());
     }
 
+    /** Handles a push of a peer, which tells for how long the peer keeps lapsed registrations. */
+    void recordPush(StoreTable table, long holdMillis) {
+        extendHold(holdMillis);
+        if (table == StoreTable.SERVERS && holdMillis == 0) {
+            mHold.recordServiceToOthers(System.nanoTime());
+        }
+    }
+
     /** Handles the registrations of the servers table and its rows' versions, both by server id. */
     void update(
             Map<String, ServerRegistration> decoded,
@@ -101,7 +109,7 @@
             mReleaseScheduled = true;
             mThread.executeAfter(
                     this::releaseHeld,
-                    mHold.remainingNanos(System.nanoTime()) + 1,
+                    mHold.nanosUntilRelease(System.nanoTime()) + 1,
                     TimeUnit.NANOSECONDS);
         }
     }
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -72,7 +72,8 @@
     }
 
     void connected(PooledConnection connection) {
-        runInThread(
+        ReadyEvents.runAfter(
+                connection.thread(),
                 () -> {
                     if (!mDone) {
                         startTimer(mRequest.deadlineNanos());
@@ -130,9 +131,19 @@
             connection.release();
             return;
         }
+        if (connection.endedWhileIdle()) {
+            connection.close();
+            mClient.connect(this, connection.thread());
+            return;
+        }
+        if (connection.isOpen() && !mRequest.sendCondition().getAsBoolean()) {
+            connection.release();
+            failWith(new NotSentException(Cause.WITHDRAWN, "the send condition does not hold"));
+            return;
+        }
         mConnection = connection;
         if (!connection.isOpen()) {
-            failWith(new NotSentException(Cause.REFUSED, "the pooled connection was closed"));
+            failWith(new NotSentException(Cause.REFUSED, "the new connection was closed"));
             return;
         }
         HeaderMap headers = mRequest.request().getRequestHeaders();
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -14,7 +14,14 @@
 
     /** What can take servers away from a request. */
     private static final Set<String> SERVER_CHANGES =
-            Set.of("evacuated", "servers", "server-ejected", "server-limit", "server-limit-ended");
+            Set.of(
+                    "evacuated",
+                    "servers",
+                    "server-ejected",
+                    "server-limit",
+                    "server-limit-ended",
+                    "restored",
+                    "returned-servers-unused");
 
     /** A server whose answers take this much longer than usual, in percent, is named slow. */
     private static final long SLOW_PERCENT = 150;
@@ -86,7 +93,7 @@
                             + line.text("service")
                             + " could be used"
                             + serverChanges(changes);
-            case "FULL", "MISDIRECTED", "UNREACHABLE" ->
+            case "FULL", "MISDIRECTED", "UNREACHABLE", "WITHDRAWN" ->
                     "refused it, no server ran it: " + sends(line) + serverChanges(changes);
             default -> "refused it unsent: " + reason;
         };
@@ -177,6 +184,7 @@
             case "FULL" -> "turned it away, its queue is full";
             case "MISDIRECTED" -> "is another server than the one registered there";
             case "UNREACHABLE" -> "could not be reached";
+            case "WITHDRAWN" -> "became unusable before it was sent";
             case "LOST" -> "cut its answer off or sent an unusable one after " + millis + " ms";
             case "TIMED_OUT" -> "had not answered after " + millis + " ms";
             case "CANCELLED" -> "was still working on it after " + millis + " ms";
