Read what arrived during a delay before a late timer gives it up

What callers saw: after a delay of a host, servers that had accepted its connections were ejected as unreachable for a second and more, answers that had arrived were dropped, and requests were sent to a second server although the answer of the first one had come. Other hosts were reported as lost, and calls of the store counted as failed, for the same reason.

Cause: after a delay, the I/O thread runs the timers that are due before it looks at its sockets.

Change: a timer of a call or a hedge that is more than 20 ms late lets the thread look at its sockets once more, for 5 ms, before its task runs. Hedges are then also placed by the news that arrived during the delay.

Cost: a call that is given up after a delay is given up 5 ms later.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -7,11 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.BufferedResponse;
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
+import org.redwingladder.http.DeadlineTimer;
 import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseHandler;
 import org.redwingladder.http.ResponseLostException;
@@ -24,7 +24,6 @@
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.SendResult;
 import org.redwingladder.steering.TriedServers;
-import org.xnio.XnioExecutor;
 
 /**
  * Forwards one client request to a backend server until it is answered, with retries and hedging.
@@ -51,7 +50,7 @@
     private final AttemptTracker mHistory;
     private boolean mDone;
     private SendResult mLastResult = SendResult.FULL;
-    private XnioExecutor.@Nullable Key mHedgeTimer;
+    private @Nullable DeadlineTimer mHedgeTimer;
     private @Nullable Attempt mStreaming;
 
     ProxiedRequest(
@@ -131,12 +130,10 @@
         if (!mHistory.mayHedge() || mDone || mBody instanceof RequestBody.Streamed) {
             return;
         }
-        long delay = HedgePolicy.delayNanos(first);
-        if (System.nanoTime() + delay - mDeadlineNanos >= 0) {
-            return;
+        long hedgeNanos = System.nanoTime() + HedgePolicy.delayNanos(first);
+        if (hedgeNanos - mDeadlineNanos < 0) {
+            mHedgeTimer = DeadlineTimer.start(mExchange.getIoThread(), hedgeNanos, this::hedge);
         }
-        mHedgeTimer =
-                mExchange.getIoThread().executeAfter(this::hedge, delay, TimeUnit.NANOSECONDS);
     }
 
     private void hedge() {
@@ -214,7 +211,7 @@
 
     private void cancelPendingAttempts() {
         if (mHedgeTimer != null) {
-            mHedgeTimer.remove();
+            mHedgeTimer.cancel();
         }
         for (Attempt attempt : new ArrayList<>(mPendingAttempts)) {
             attempt.cancel();
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -11,11 +11,9 @@
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListeners;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -32,7 +30,7 @@
     private boolean mDone;
     private long mIdleNanos;
     private @Nullable PooledConnection mConnection;
-    private XnioExecutor.@Nullable Key mTimer;
+    private @Nullable DeadlineTimer mTimer;
     private @Nullable ByteBuffer mUnsentBody;
     private @Nullable RequestBodyStream mBodyStream;
     private Consumer<CallException> mFailureListener;
@@ -108,16 +106,15 @@
 
     private void startTimer(long deadlineNanos) {
         if (mTimer != null) {
-            mTimer.remove();
+            mTimer.cancel();
             mTimer = null;
         }
-        long wait = deadlineNanos - System.nanoTime();
-        if (wait <= 0) {
+        if (deadlineNanos - System.nanoTime() <= 0) {
             deadlinePassed();
         } else if (!mDone) {
             XnioIoThread thread = mThread;
             if (thread != null) {
-                mTimer = thread.executeAfter(this::deadlinePassed, wait, TimeUnit.NANOSECONDS);
+                mTimer = DeadlineTimer.start(thread, deadlineNanos, this::deadlinePassed);
             }
         }
     }
@@ -313,7 +310,7 @@
         }
         mEndListener.run();
         if (mTimer != null) {
-            mTimer.remove();
+            mTimer.cancel();
             mTimer = null;
         }
         return true;
