--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -15,8 +15,11 @@
  * after the current position, the whole table is read again.
  */
 final class TableWatcher {
-    /** Bounds how long a dead connection that was not reset can hide changes. */
-    private static final long LONG_POLL_MILLIS = 2_000;
+    /**
+     * The age of the last proof that the table is up to date at which a long poll ends. Exceeds no
+     * age from which hosts ask for another proof.
+     */
+    private static final long PROOF_PERIOD_MILLIS = 1_000;
 
     /** Network and store time beyond the wait of a long poll; a slow store takes 250 ms. */
     private static final long LONG_POLL_SLACK_MILLIS = 1_000;
@@ -27,6 +30,9 @@
     /** Coalesces bursts of changes; a draining server may get requests for some more seconds. */
     private static final long COALESCE_MILLIS = 100;
 
+    /** Bounds the reads while hosts of a build without eras push changes: 2 a second and host. */
+    private static final long EXTRA_READ_MILLIS = 1_000;
+
     private static final long MIN_BACK_OFF_MILLIS = 150;
     private static final long MAX_BACK_OFF_MILLIS = 1_000;
 
@@ -45,7 +51,10 @@
     private boolean mLastFailed;
     private boolean mTableRead;
     private boolean mReading;
-    private long mPolledPosition;
+    private StoreVersion mPolledPosition = StoreVersion.NONE;
+    private long mNextExtraReadNanos;
+    private boolean mExtraRead;
+    private long mProvenNanos = System.nanoTime();
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
@@ -53,10 +62,19 @@
          * Replaces the table by a snapshot; returns false if the snapshot is older than the
          * replica.
          */
-        boolean replace(StoreTable table, List<StoreRow> rows, long position);
+        boolean replace(StoreTable table, List<StoreRow> rows, StoreVersion position);
 
         /** Applies changes that follow the previous position. */
-        void apply(StoreTable table, List<StoreRow> rows, long position);
+        void apply(StoreTable table, List<StoreRow> rows, StoreVersion position);
+
+        /** Returns the latest era of the store that this host has seen. */
+        long era();
+
+        /** Called with the era of a response that has no rows to deliver. */
+        void eraSeen(long era);
+
+        /** Called with the position of rows that were dropped because their era has ended. */
+        void earlierEraSeen(StoreTable table, StoreVersion position);
 
         /** Called after each successful call to the store, before its rows are delivered. */
         void callSucceeded(StoreTable table);
@@ -66,6 +84,12 @@
 
         /** Called when watching is disabled, because peers push the changes of the table. */
         void watchDisabled(StoreTable table);
+
+        /**
+         * Called after rows were delivered, with the latest instant up to which they are certain to
+         * contain all confirmed changes.
+         */
+        default void proven(StoreTable table, long provenNanos) {}
     }
 
     TableWatcher(
@@ -96,14 +120,15 @@
      *
      * @param position the position after which changes are watched
      */
-    void setWatching(boolean watching, long position) {
+    void setWatching(boolean watching, StoreVersion position) {
         if (watching == mWatching || mStopped) {
             return;
         }
         mWatching = watching;
         mLog.event("store", watching ? "follows" : "relies-on-others")
                 .with("table", mTable)
-                .with("position", position)
+                .with("position", position.number())
+                .with("era", position.era())
                 .with("lastFailed", mLastFailed)
                 .with("reading", mReading)
                 .write();
@@ -118,10 +143,12 @@
         }
     }
 
-    /** Resets the result of the last call too, which becomes stale without further calls. */
+    /**
+     * Resets the result of the last call too, which becomes stale without further calls. The
+     * response of a call in flight is still delivered, since it may hold changes that no other host
+     * has read.
+     */
     private void disableWatch() {
-        mGeneration++;
-        mReading = false;
         if (mRetry != null) {
             mRetry.remove();
             mRetry = null;
@@ -135,12 +162,34 @@
     /** Reads the whole table; the response of a call in flight is ignored. */
     void readTable() {
         long generation = ++mGeneration;
-        mRetry = null;
+        if (mRetry != null) {
+            mRetry.remove();
+            mRetry = null;
+        }
         mReading = true;
+        long now = System.nanoTime();
         mStore.readTable(
                 mTable,
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
-                new ResponseCallback(generation, true));
+                now + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS),
+                new ResponseCallback(generation, true, now, 0));
+    }
+
+    /** Reads the table if this host watches it, since the store has a later era than its rows. */
+    void eraRaised() {
+        if (mWatching && !mReading && !mStopped) {
+            readTable();
+        }
+    }
+
+    /** Reads the table once in a while if this host does not watch it. */
+    void readUnwatched() {
+        long now = System.nanoTime();
+        boolean recent = mExtraRead && now - mNextExtraReadNanos < 0;
+        if (!mWatching && mTableRead && !mReading && !recent && !mStopped) {
+            mExtraRead = true;
+            mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
+            readTable();
+        }
     }
 
     void stop() {
@@ -152,7 +201,7 @@
     }
 
     /** Restarts the watch from a position if watching is enabled; a call in flight is ignored. */
-    void watchFrom(long position) {
+    void watchFrom(StoreVersion position) {
         if (!mWatching) {
             return;
         }
@@ -163,24 +212,30 @@
         long generation = ++mGeneration;
         mReading = false;
         mPolledPosition = position;
+        long now = System.nanoTime();
+        long proofAge = TimeUnit.NANOSECONDS.toMillis(now - mProvenNanos);
+        long wait = Math.clamp(PROOF_PERIOD_MILLIS - proofAge, 0, PROOF_PERIOD_MILLIS);
         mStore.pollChanges(
                 mTable,
-                position,
-                LONG_POLL_MILLIS,
-                System.nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(LONG_POLL_MILLIS + LONG_POLL_SLACK_MILLIS),
-                new ResponseCallback(generation, false));
+                position.number(),
+                wait,
+                now + TimeUnit.MILLISECONDS.toNanos(wait + LONG_POLL_SLACK_MILLIS),
+                new ResponseCallback(generation, false, now, wait));
     }
 
-    private void scheduleWatch(long position) {
+    private void scheduleWatch(StoreVersion position, long delayMillis) {
         if (mWatching) {
             mRetry =
                     mThread.executeAfter(
-                            () -> watchFrom(position), COALESCE_MILLIS, TimeUnit.MILLISECONDS);
+                            () -> watchFrom(position), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
     private void recordSuccess() {
+        if (!mWatching && mTableRead) {
+            mListener.callSucceeded(mTable);
+            return;
+        }
         mLastFailed = false;
         mTableRead = true;
         mFailureLogged = false;
@@ -192,6 +247,23 @@
         mListener.callSucceeded(mTable);
     }
 
+    private void recordFailure() {
+        mHealthy = false;
+        if (mWatching || !mTableRead) {
+            mLastFailed = true;
+            mListener.callFailed(mTable);
+            scheduleRetry();
+        }
+    }
+
+    /** Reads the table, which another one's watch begins, too, if the store has a later era. */
+    private void readAfterRestore(long era) {
+        mListener.eraSeen(era);
+        if (!mReading) {
+            readTable();
+        }
+    }
+
     private void scheduleRetry() {
         long jitter = ThreadLocalRandom.current().nextLong(mBackOffMillis);
         mRetry =
@@ -204,9 +276,14 @@
         private final long mCallGeneration;
         private final boolean mSnapshot;
 
-        ResponseCallback(long generation, boolean snapshot) {
+        private final long mSentNanos;
+        private final long mWaitMillis;
+
+        ResponseCallback(long generation, boolean snapshot, long sentNanos, long waitMillis) {
             mCallGeneration = generation;
             mSnapshot = snapshot;
+            mSentNanos = sentNanos;
+            mWaitMillis = waitMillis;
         }
 
         @Override
@@ -214,9 +291,19 @@
             if (mCallGeneration != mGeneration || mStopped) {
                 return;
             }
+            StoreVersion position = read.position();
             mReading = false;
+            if (position.era() < mListener.era()) {
+                mListener.earlierEraSeen(mTable, position);
+                recordFailure();
+                return;
+            }
             recordSuccess();
-            long position = read.position().number();
+            if (!mSnapshot && position.era() != mPolledPosition.era()) {
+                // The changes follow a table that this host never had.
+                readAfterRestore(position.era());
+                return;
+            }
             try {
                 if (!mSnapshot) {
                     mListener.apply(mTable, read.rows(), position);
@@ -231,14 +318,29 @@
                 // The watch must go on: later changes may be removals of servers.
                 mLog.event("store", "delivery-failed")
                         .with("table", mTable)
-                        .with("position", position)
+                        .with("position", position.number())
+                        .with("era", position.era())
                         .with("cause", e)
                         .write();
                 mBackOffMillis = MAX_BACK_OFF_MILLIS;
                 scheduleRetry();
                 return;
             }
-            scheduleWatch(position);
+            // Without a change the store answers at the end of the wait.
+            long waitEndNanos = mSentNanos + TimeUnit.MILLISECONDS.toNanos(mWaitMillis);
+            boolean waited =
+                    mWaitMillis > 0
+                            && read.rows().isEmpty()
+                            && System.nanoTime() - waitEndNanos >= 0;
+            recordProof(waited ? waitEndNanos : mSentNanos);
+            scheduleWatch(position, waited ? 0 : COALESCE_MILLIS);
+        }
+
+        private void recordProof(long provenNanos) {
+            if (provenNanos - mProvenNanos > 0) {
+                mProvenNanos = provenNanos;
+            }
+            mListener.proven(mTable, provenNanos);
         }
 
         private void logRead(String event, VersionedRows read) {
@@ -260,13 +362,15 @@
                 mLastFailed = false;
                 mLog.event("store", "history-lost")
                         .with("table", mTable)
-                        .with("position", mPolledPosition)
+                        .with("position", mPolledPosition.number())
                         .with("era", cause.era())
                         .write();
-                readTable();
+                readAfterRestore(cause.era());
+                return;
+            }
+            if (!mWatching && mTableRead) {
                 return;
             }
-            mHealthy = false;
             if (!mFailureLogged) {
                 mFailureLogged = true;
                 mLog.event("store", "lost")
@@ -275,11 +379,7 @@
                         .with("cause", cause.getMessage())
                         .write();
             }
-            mLastFailed = true;
-            mListener.callFailed(mTable);
-            if (mWatching || !mTableRead) {
-                scheduleRetry();
-            }
+            recordFailure();
         }
     }
 }
