--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -52,9 +52,9 @@
     private boolean mTableRead;
     private boolean mReading;
     private StoreVersion mPolledPosition = StoreVersion.NONE;
+    private long mProvenNanos = System.nanoTime();
     private long mNextExtraReadNanos;
     private boolean mExtraRead;
-    private long mProvenNanos = System.nanoTime();
 
     /** Receives the rows of the table and the state of the watch. */
     interface Listener {
@@ -181,15 +181,17 @@
         }
     }
 
-    /** Reads the table once in a while if this host does not watch it. */
-    void readUnwatched() {
+    /** Reads the table if this host does not watch it and has not just read it in this way. */
+    boolean readUnwatched() {
         long now = System.nanoTime();
         boolean recent = mExtraRead && now - mNextExtraReadNanos < 0;
-        if (!mWatching && mTableRead && !mReading && !recent && !mStopped) {
-            mExtraRead = true;
-            mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
-            readTable();
+        if (mWatching || !mTableRead || mReading || recent || mStopped) {
+            return false;
         }
+        mExtraRead = true;
+        mNextExtraReadNanos = now + TimeUnit.MILLISECONDS.toNanos(EXTRA_READ_MILLIS);
+        readTable();
+        return true;
     }
 
     void stop() {
--- a/daemon/src/test/java/org/redwingladder/entry/FreshnessServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/FreshnessServiceTest.java
@@ -77,6 +77,10 @@
         mThread.close();
     }
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(0, number);
+    }
+
     private HostState peerState() {
         String address = Addresses.format(mPeer.address());
         return new HostState("h2", 1, 1, "z1", address, address, true, true, 1, Map.of());
@@ -107,10 +111,6 @@
                                 List.of()));
     }
 
-    private static StoreVersion version(long number) {
-        return new StoreVersion(0, number);
-    }
-
     private void awaitQuestion() throws Exception {
         mThread.await(() -> !mPeer.receivedRequests().isEmpty());
     }
