--- a/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
+++ b/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
@@ -140,6 +140,14 @@
         return pool == null ? 0 : pool.open();
     }
 
+    /** Closes the idle connections to an address, after one to it has gone silent. */
+    public void closeIdleConnections(InetSocketAddress address) {
+        ConnectionPool pool = mPools.get(address);
+        if (pool != null) {
+            pool.closeIdleSince(Long.MAX_VALUE);
+        }
+    }
+
     /** Returns the worker whose I/O threads the calls run on. */
     public XnioWorker worker() {
         return mWorker;
