End the measurement of delays quietly when the I/O thread ends

Seen once in 20 stops of a host in a test: XNIO000011, a task failed with RejectedExecutionException, since EventLoopMonitor started its next timer on a thread that was terminating. It now ends with a line in the log.

--- a/daemon/src/main/java/org/redwingladder/entry/EventLoopMonitor.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EventLoopMonitor.java
@@ -1,5 +1,6 @@
 package org.redwingladder.entry;
 
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioIoThread;
 
@@ -26,7 +27,11 @@
     /** Starts to measure; runs until the thread ends. */
     void start() {
         mDueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PERIOD_MILLIS);
-        mThread.executeAfter(this::measure, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            mThread.executeAfter(this::measure, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            mLog.event("host", "delays-unmeasured").with("cause", e).write();
+        }
     }
 
     private void measure() {
