Ask another host before the store also after a pause of this host

A host that got no processor time for 0.3 s found its proof beyond the second limit at once, and called the store although the hosts that follow it worked. With many such hosts each pause costs calls. The time for the first question now starts when the host notices that its proof is old. At a start a host leaves tables that it has never had to their watchers, which read them already.

Evidence: the new test failed before (the first step was a call to the store).

--- a/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
+++ b/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
@@ -109,17 +109,18 @@
             mOutdated = false;
             return new Step.Idle();
         }
-        if (age >= askAge + QUESTION_TIMEOUT_NANOS && !mStoreCallInFlight) {
-            if (!mOutdated) {
-                mOutdated = true;
-                long period = alive.size() * STORE_PERIOD_NANOS_PER_HOST;
-                long due = nowNanos + random(period - STORE_BURST_NANOS);
-                mNextStoreCallNanos = later(mNextStoreCallNanos, due);
-            }
-            if (nowNanos - mNextStoreCallNanos >= 0) {
-                mStoreCallInFlight = true;
-                return new Step.AskStore(nowNanos + STORE_TIMEOUT_NANOS);
-            }
+        if (!mOutdated) {
+            // A host that has just got processor time again asks another one first, too.
+            mOutdated = true;
+            long spread = random(alive.size() * STORE_PERIOD_NANOS_PER_HOST - STORE_BURST_NANOS);
+            long due = nowNanos + QUESTION_TIMEOUT_NANOS + spread;
+            mNextStoreCallNanos = later(mNextStoreCallNanos, due);
+        }
+        if (age >= askAge + QUESTION_TIMEOUT_NANOS
+                && !mStoreCallInFlight
+                && nowNanos - mNextStoreCallNanos >= 0) {
+            mStoreCallInFlight = true;
+            return new Step.AskStore(nowNanos + STORE_TIMEOUT_NANOS);
         }
         if (!mQuestionInFlight && nowNanos - mNextQuestionNanos >= 0) {
             HostState host = hostToAsk(alive, nowNanos);
--- a/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
+++ b/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,6 +66,25 @@
         }
     }
 
+    @Nested
+    class HostsThatWereSuspended {
+        /** Each pause of a host that is short of processor time would cost calls to the store. */
+        @Test
+        void askAnotherHostBeforeTheStore() {
+            Map<String, String> regions = Map.of("z1", "r1");
+            FreshnessPolicy policy =
+                    new FreshnessPolicy("h1", "r1", regions, new SplittableRandom(1), 0);
+            HostState reader = new HostState("h2", 1, 1, "z1", "h2", "h2", true, true, 1, Map.of());
+            long now = 5_000 * FreshnessSimulation.MILLI;
+            assertThat(policy.next(0, List.of(reader), now))
+                    .isInstanceOf(FreshnessPolicy.Step.AskHost.class);
+            long deadline = now + FreshnessPolicy.QUESTION_TIMEOUT_NANOS;
+            policy.hostFailed("h2", deadline);
+            assertThat(policy.next(0, List.of(reader), deadline))
+                    .isInstanceOf(FreshnessPolicy.Step.AskStore.class);
+        }
+    }
+
     @Nested
     class CallsToTheStore {
         @Test
--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -213,9 +213,19 @@
         if (store == null) {
             return;
         }
+        // A table that this host has never had is read by its watcher.
+        List<StoreTable> tables =
+                TABLES.stream()
+                        .filter(t -> !mReplica.table(t).position().equals(StoreVersion.NONE))
+                        .toList();
+        if (tables.isEmpty()) {
+            long now = System.nanoTime();
+            mPolicy.storeAnswered(mMembers.alive(now).size(), now);
+            return;
+        }
         mStoreCallFailed = false;
-        mStoreCalls = TABLES.size();
-        for (StoreTable table : TABLES) {
+        mStoreCalls = tables.size();
+        for (StoreTable table : tables) {
             mMetrics.count("freshness.store-calls");
             StoreVersion position = mReplica.table(table).position();
             store.pollChanges(
