Place a retry after the news that arrived with the answer before it

What callers saw: after a delay of a host, requests that one server had refused were sent again to a server that had said that it leaves.

Cause: a retry was placed while the answer before it was read, and the I/O thread reads the sockets that are ready in any order.

Change: a retry is placed after the events that were ready with the answer, as first sends are.

--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.DeadlineTimer;
+import org.redwingladder.http.ReadyEvents;
 import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseHandler;
 import org.redwingladder.http.ResponseLostException;
@@ -151,7 +152,13 @@
     /** Retries or fails the request after an attempt without a response for the client. */
     private void retryOrFail(SendResult result) {
         mLastResult = result;
-        if (mDone || !mPendingAttempts.isEmpty()) {
+        if (!mDone && mPendingAttempts.isEmpty()) {
+            ReadyEvents.runAfter(mExchange.getIoThread(), () -> retryOrFailNow(result));
+        }
+    }
+
+    private void retryOrFailNow(SendResult result) {
+        if (mDone) {
             return;
         }
         if (result != SendResult.TIMED_OUT
