Take no time for an outage in which the store served any host

Callers could still see requests at servers that had left 2 s before: failed calls that were minutes apart, and rejections of one host while its region had few changes, counted as an outage of the store.

Cause: the end of an outage was inferred from this host's own failures. Pushes of the servers table were the only evidence against it, and a quiet table has none.

A host now keeps the last instant at which the store is known to have served anyone: its own successful calls, pushes, and the proofs that other hosts state. The test of a host that is rejected alone states this evidence each second, as proofs come, instead of once.

--- a/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
+++ b/core/src/main/java/org/redwingladder/steering/RegistrationGracePeriod.java
@@ -1,7 +1,5 @@
 package org.redwingladder.steering;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -26,22 +24,21 @@
     private static final int CONSECUTIVE_FAILURES_OF_OUTAGE = 2;
 
     /**
-     * Registrations expire after several seconds without the store, and hosts recover within this
-     * time of each other. If the store served another host in the time before, there was no outage.
+     * The shortest time without any sign of the store after which there was an outage. Shorter than
+     * the several seconds of silence after which registrations expire, and longer than the time
+     * between two proofs of other hosts.
      */
-    private static final long RECOVERY_SPREAD_NANOS = 1_500_000_000L;
-
-    private static final long SERVICE_MEMORY_NANOS = 2 * RECOVERY_SPREAD_NANOS;
-
-    /** The resolution at which service to other hosts is remembered. */
-    private static final long SERVICE_RESOLUTION_NANOS = 100_000_000L;
+    private static final long MIN_OUTAGE_NANOS = 2_000_000_000L;
 
     private final Map<String, ServerRegistration> mRegistered = new HashMap<>();
     private final Map<String, RetainedRegistration> mRetained = new HashMap<>();
     private int mConsecutiveFailures;
     private long mEndNanos;
     private boolean mActive;
-    private final Deque<Long> mServiceToOthersNanos = new ArrayDeque<>();
+    private boolean mServiceSeen;
+    private long mServiceNanos;
+    private boolean mOutageSeen;
+    private long mOutageEndNanos;
 
     private record RetainedRegistration(ServerRegistration registration, long untilNanos) {}
 
@@ -62,36 +59,42 @@
         mConsecutiveFailures = 0;
     }
 
-    /** Records that a peer without a grace period forwards what the store has just told it. */
-    public void recordServiceToOthers(long nowNanos) {
-        Long last = mServiceToOthersNanos.peekLast();
-        if (last == null || nowNanos - last >= SERVICE_RESOLUTION_NANOS) {
-            mServiceToOthersNanos.addLast(nowNanos);
-        }
-        forgetService(nowNanos);
-    }
-
-    private void forgetService(long nowNanos) {
-        mServiceToOthersNanos.removeIf(served -> nowNanos - served > SERVICE_MEMORY_NANOS);
+    /** Records that the store served another host at an instant. */
+    public void recordServiceToOthers(long servedNanos) {
+        recordService(servedNanos);
     }
 
-    /** Returns whether the store served others when no host can have recovered from an outage. */
-    private boolean servedOthersThroughout(long nowNanos) {
-        forgetService(nowNanos);
-        Long first = mServiceToOthersNanos.peekFirst();
-        return first != null && nowNanos - first >= RECOVERY_SPREAD_NANOS;
+    private void recordService(long nanos) {
+        boolean outageEnds =
+                mServiceSeen
+                        ? nanos - mServiceNanos >= MIN_OUTAGE_NANOS
+                        : mConsecutiveFailures >= CONSECUTIVE_FAILURES_OF_OUTAGE;
+        if (outageEnds) {
+            mOutageSeen = true;
+            mOutageEndNanos = nanos;
+        }
+        if (!mServiceSeen || nanos - mServiceNanos > 0) {
+            mServiceNanos = nanos;
+        }
+        mServiceSeen = true;
     }
 
-    /** Records a successful call to the store, which starts a grace period after an outage. */
+    /**
+     * Records a successful call to the store. After an outage it starts a grace period, which ends
+     * a while after the first sign of the store.
+     */
     public void recordStoreSuccess(long nowNanos) {
-        if (mConsecutiveFailures >= CONSECUTIVE_FAILURES_OF_OUTAGE
-                && !servedOthersThroughout(nowNanos)) {
-            extend(GRACE_NANOS, nowNanos);
+        recordService(nowNanos);
+        if (mOutageSeen && mConsecutiveFailures >= CONSECUTIVE_FAILURES_OF_OUTAGE) {
+            long leftNanos = mOutageEndNanos + GRACE_NANOS - nowNanos;
+            if (leftNanos > 0) {
+                extend(leftNanos, nowNanos);
+            }
         }
         mConsecutiveFailures = 0;
     }
 
-    /** Records that the store was restored from a copy, which may lack running servers. */
+    /** Records a restore of the store, after which servers that it lost register again. */
     public void recordStoreRestored(long nowNanos) {
         extend(GRACE_NANOS, nowNanos);
     }
--- a/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
+++ b/core/src/test/java/org/redwingladder/steering/RegistrationGracePeriodTest.java
@@ -106,7 +106,9 @@
         void rejectionOfThisHostAloneRetainsNothing() {
             mGracePeriod.update(mBoth, 0);
             recordOutage();
-            mGracePeriod.recordServiceToOthers(8 * SECOND);
+            for (int second = 1; second < 10; second++) {
+                mGracePeriod.recordServiceToOthers(second * SECOND);
+            }
             mGracePeriod.recordStoreSuccess(10 * SECOND);
             assertThat(mGracePeriod.update(Map.of(), 10 * SECOND)).isEmpty();
         }
--- a/daemon/src/main/java/org/redwingladder/entry/StoreFreshness.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreFreshness.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /**
  * The instants up to which this host's replicas are proven to contain all changes that the store
@@ -16,6 +17,7 @@
     private final Map<StoreTable, Long> mProvenNanos = new EnumMap<>(StoreTable.class);
     private final Map<StoreTable, Long> mProvenByStoreNanos = new EnumMap<>(StoreTable.class);
     private final long mStartNanos;
+    private LongConsumer mServersProofListener = provenNanos -> {};
     private boolean mWatching;
     private long mWatchingSinceNanos;
 
@@ -29,9 +31,22 @@
         advance(mProvenNanos, table, provenNanos);
     }
 
+    /** Returns whether this host has read a table from the store itself. */
+    boolean everProvenByStore(StoreTable table) {
+        return mProvenByStoreNanos.containsKey(table);
+    }
+
     /** Records a proof by the statement of another host. */
     void provenByHost(StoreTable table, long provenNanos) {
         advance(mProvenNanos, table, provenNanos);
+        if (table == StoreTable.SERVERS) {
+            mServersProofListener.accept(provenNanos);
+        }
+    }
+
+    /** Sets a listener for the instants up to which other hosts prove the servers table. */
+    void onServersProvenByHost(LongConsumer listener) {
+        mServersProofListener = listener;
     }
 
     private static void advance(Map<StoreTable, Long> proofs, StoreTable table, long provenNanos) {
--- a/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
+++ b/daemon/src/main/java/org/redwingladder/entry/UsableServers.java
@@ -48,6 +48,7 @@
         mThread = thread;
         mLog = log;
         mFreshness = freshness;
+        freshness.onServersProvenByHost(mHold::recordServiceToOthers);
         mListener = listener;
     }
 
@@ -69,7 +70,7 @@
     /** Handles a push of a peer, which tells for how long the peer keeps lapsed registrations. */
     void recordPush(StoreTable table, long holdMillis) {
         extendHold(holdMillis);
-        if (table == StoreTable.SERVERS && holdMillis == 0) {
+        if (table == StoreTable.SERVERS) {
             mHold.recordServiceToOthers(System.nanoTime());
         }
     }
