Hold no servers because the first era of the store is read

In a rolling update a host of the new release that copied its tables from one that states no era took its own first reading for a restore of the store, and held servers that had left for 2 s (FalseOutageTest, failed before). A table that this host has never read from the store itself is not from an earlier era.

--- a/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
+++ b/daemon/src/main/java/org/redwingladder/entry/StoreReplica.java
@@ -231,7 +231,9 @@
     /** Prepares for the first rows of a later era, which may be older than those known. */
     private void recordRestore(StoreTable table, StoreVersion before) {
         TableReplica replica = mReplicas.get(table);
-        if (before.equals(StoreVersion.NONE) || before.era() == replica.position().era()) {
+        // A table of a host that states no era is not from an earlier one.
+        boolean copied = before.era() == 0 && !mFreshness.everProvenByStore(table);
+        if (copied || before.era() == replica.position().era()) {
             return;
         }
         mLog.event("store", "restored")
