Forget that a server drains when its row says that it no longer does

After a restore of the store that lost nothing of its row, a server that had stopped draining before was not used until its process restarted (WithdrawnDrainingTest, failed before).

--- a/core/src/main/java/org/redwingladder/steering/RestoredStateGuard.java
+++ b/core/src/main/java/org/redwingladder/steering/RestoredStateGuard.java
@@ -163,6 +163,8 @@
                 (id, entry) -> {
                     if (entry.draining()) {
                         mDrainingStarts.put(id, entry.startedMillis());
+                    } else {
+                        mDrainingStarts.remove(id);
                     }
                 });
         mServers = Map.copyOf(servers);
