End the back-off of calls to the store with the outage

A proof that the tables are up to date now ends the back-off.

A listener that throws at rows that this host read itself no longer counts as a failed call twice, and the rows are read again with the whole table; the next empty answer proved a state that had not been applied.

--- a/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
+++ b/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
@@ -106,7 +106,7 @@
         long age = nowNanos - provenNanos;
         long askAge = askAgeNanos(alive);
         if (age < askAge) {
-            mOutdated = false;
+            recordFreshProof(nowNanos);
             return new Step.Idle();
         }
         if (!mOutdated) {
@@ -132,6 +132,15 @@
         return new Step.Idle();
     }
 
+    /** Reports that the tables are proven to be up to date, which ends an outage for this host. */
+    public void recordFreshProof(long nowNanos) {
+        mOutdated = false;
+        if (mStoreBackOffNanos > MIN_STORE_PERIOD_NANOS) {
+            mStoreBackOffNanos = MIN_STORE_PERIOD_NANOS;
+            mNextStoreCallNanos = nowNanos;
+        }
+    }
+
     /** Returns the age of a proof from which a host considers its tables outdated. */
     public long outdatedAgeNanos(Collection<HostState> alive) {
         return askAgeNanos(alive) + QUESTION_TIMEOUT_NANOS;
--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -115,6 +115,7 @@
         long now = System.nanoTime();
         long proven = mFreshness.oldestProvenNanos();
         if (now - proven < FreshnessPolicy.ASK_AGE_NANOS) {
+            mPolicy.recordFreshProof(now);
             return;
         }
         List<HostState> alive = mMembers.alive(now);
@@ -266,12 +267,28 @@
                 readTable(position.era());
             } else {
                 mReplica.callSucceeded(mTable);
-                try {
-                    deliver(read);
-                } finally {
-                    storeCallEnded();
+                deliverOrRead(read);
+            }
+        }
+
+        private void deliverOrRead(VersionedRows read) {
+            try {
+                deliver(read);
+            } catch (RuntimeException | StackOverflowError e) {
+                mLog.event("store", "delivery-failed")
+                        .with("table", mTable)
+                        .with("position", read.position().number())
+                        .with("cause", e)
+                        .write();
+                // Only a reading of the whole table delivers these rows again.
+                if (mAfter != null) {
+                    readTable(read.position().era());
+                } else {
+                    fail();
                 }
+                return;
             }
+            storeCallEnded();
         }
 
         private void deliver(VersionedRows read) {
