--- a/daemon/src/main/java/org/redwingladder/entry/EventLoopMonitor.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EventLoopMonitor.java
@@ -30,7 +30,7 @@
         try {
             mThread.executeAfter(this::measure, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
-            mLog.event("host", "delays-unmeasured").with("cause", e).write();
+            mLog.event("host", "delay-monitor-stopped").with("cause", e).write();
         }
     }
 
--- a/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
+++ b/daemon/src/main/java/org/redwingladder/entry/TableWatcher.java
@@ -16,8 +16,8 @@
  */
 final class TableWatcher {
     /**
-     * The age of the last proof that the table is up to date at which a long poll ends. Exceeds no
-     * age from which hosts ask for another proof.
+     * The age of the last proof that the table is up to date at which a long poll ends; shorter
+     * than the age at which hosts ask for another proof.
      */
     private static final long PROOF_PERIOD_MILLIS = 1_000;
 
