--- a/http/src/test/java/org/redwingladder/http/EndedConnectionTest.java
+++ b/http/src/test/java/org/redwingladder/http/EndedConnectionTest.java
@@ -88,6 +88,13 @@
                         .body("work".getBytes(ISO_8859_1)));
     }
 
+    /** Waits for the tasks of a response, of which one returns its connection to the pool. */
+    private void awaitIdleConnection() throws Exception {
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        ReadyEvents.runAfter(mClient.worker().getIoThread(0), () -> idle.complete(null));
+        idle.get(30, TimeUnit.SECONDS);
+    }
+
     /** Sends a call on the I/O thread, which has no moment to read the end of the connection. */
     private CompletableFuture<BufferedResponse> fetchBehindEnd(String id) {
         Executor thread = mClient.worker().getIoThread(0);
@@ -112,6 +119,7 @@
         void thatTheServerEndedCarriesNoRequest(End end) throws Exception {
             mEnd = end;
             fetch("first").get(30, TimeUnit.SECONDS);
+            awaitIdleConnection();
             BufferedResponse second = fetchBehindEnd("second").get(30, TimeUnit.SECONDS);
             assertThat(second.status()).isEqualTo(200);
             assertThat(mServer.requestCount("second")).isEqualTo(1);
