--- a/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryConfigReader.java
@@ -15,11 +15,23 @@
 import org.redwingladder.limits.ConnectionLimits;
 import org.redwingladder.steering.HostResources;
 
-/** Parses and validates the configuration file of an entry host; reports all errors at once. */
+/**
+ * Parses and validates the configuration of an entry host, which is a file and a few environment
+ * variables; reports all errors at once.
+ */
 public final class EntryConfigReader {
+    /**
+     * The variable with the most files and sockets that the process may open. It takes precedence
+     * over the file, as the limit belongs to the process and may differ between hosts that share a
+     * form of the file.
+     */
+    public static final String DESCRIPTORS_VARIABLE = "REDWINGLADDER_DESCRIPTORS";
+
     private static final Pattern DURATION = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)(ms|s)");
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,9}");
 
     private final JsonNode mRoot;
+    private final Map<String, String> mEnvironment;
     private final List<String> mErrors = new ArrayList<>();
 
     /** Thrown for an invalid configuration; the message lists all errors. */
@@ -31,19 +43,23 @@
         }
     }
 
-    private EntryConfigReader(JsonNode root) {
+    private EntryConfigReader(JsonNode root, Map<String, String> environment) {
         mRoot = root;
+        mEnvironment = environment;
     }
 
     /**
      * Parses a configuration.
      *
-     * @throws InvalidConfigException if the text is not JSON, or members are missing or of a wrong
-     *     type
+     * @param text the content of the file
+     * @param environment the environment variables of the process
+     * @throws InvalidConfigException if the text is not JSON, or members or variables are missing
+     *     or of a wrong type
      */
-    public static EntryConfig read(byte[] text) throws InvalidConfigException {
+    public static EntryConfig read(byte[] text, Map<String, String> environment)
+            throws InvalidConfigException {
         try {
-            return new EntryConfigReader(Json.tree(text)).config();
+            return new EntryConfigReader(Json.tree(text), environment).config();
         } catch (JsonException e) {
             throw new InvalidConfigException(List.of("not JSON: " + e.getMessage()));
         }
@@ -120,21 +136,30 @@
     }
 
     private int descriptors() {
+        String variable = mEnvironment.getOrDefault(DESCRIPTORS_VARIABLE, "");
+        if (!variable.isEmpty()) {
+            return WHOLE_NUMBER.matcher(variable).matches()
+                    ? descriptors(DESCRIPTORS_VARIABLE, Integer.parseInt(variable), variable)
+                    : descriptors(DESCRIPTORS_VARIABLE, 0, variable);
+        }
         String path = "size.descriptors";
         JsonNode node = node(path);
-        if (node == null) {
-            return HostResources.DEFAULT_DESCRIPTORS;
-        }
-        if (!node.isInt() || node.asInt() < ConnectionLimits.MIN_DESCRIPTORS) {
+        return node == null
+                ? HostResources.DEFAULT_DESCRIPTORS
+                : descriptors(path, node.isInt() ? node.asInt() : 0, node);
+    }
+
+    private int descriptors(String name, int count, Object found) {
+        if (count < ConnectionLimits.MIN_DESCRIPTORS) {
             mErrors.add(
-                    path
+                    name
                             + ": expected a whole number of at least "
                             + ConnectionLimits.MIN_DESCRIPTORS
                             + ", found "
-                            + node);
+                            + found);
             return HostResources.DEFAULT_DESCRIPTORS;
         }
-        return node.asInt();
+        return count;
     }
 
     private long millis(String path) {
