Give servers that return under their id the rate of a cold one

Cause: a server counted as cold only when its registration changed. While the store is away none changes, and the first answer ended the ejection, so that the host sent its full part at once. Nothing read Cold-Ms, with which servers tell it in their health responses.

Ruled out: retries and hedges beside the rate (each takes a permit).

Change: a refused connection tells that the server is gone, and an answer to a later request that it is back and cold; servers that say that they are cold are. Hosts tell each other at once, in the way of the rate limits, whose table and gossip are now generic (ServerConditionTable, ServerConditionGossip); the rate is divided as before (SharedServerRates). While the store is away, or nothing listens, one host of the server's zone asks its health each second.

Why it works: hosts that saw the server gone send at the cold rate through three senders without any news, and the others hear of it before it returns.

Result: ColdServerTest failed before (34 and 43 requests in a second after the return with one host and three, 43 of a server that only says that it is cold; 19 allowed) and passes.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -1,6 +1,7 @@
 package org.redwingladder.steering;
 
 import java.util.ArrayDeque;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Load estimate and outlier detection of one backend server, as seen by this host. Not thread-safe.
@@ -40,6 +41,7 @@
     private double mLimitPerSecond = Double.POSITIVE_INFINITY;
     private long mPermitsDenied;
     private long mColdUntilNanos;
+    private @Nullable ServerWarmUp mWarmUp;
     private double mOtherHostsMeanLoad;
     private double mOtherHostsLastLoad;
     private long mLoadReportedNanos;
@@ -72,8 +74,18 @@
         }
     }
 
+    /** Sets the warm-up that hosts noticed beside the registration, null if there is none. */
+    void warmUp(@Nullable ServerWarmUp warmUp) {
+        mWarmUp = warmUp;
+    }
+
+    /** Returns whether hosts found that nothing listens at the server's address. */
+    public boolean absent() {
+        return mWarmUp != null && mWarmUp.awaited();
+    }
+
     boolean cold(long nowNanos) {
-        return mColdUntilNanos - nowNanos > 0;
+        return mColdUntilNanos - nowNanos > 0 || (mWarmUp != null && mWarmUp.cold(nowNanos));
     }
 
     SendPacer pacer() {
--- a/core/src/main/java/org/redwingladder/steering/BackendSet.java
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -84,8 +84,13 @@
     }
 
     private long warmUpNanos(ServerRegistration entry) {
+        return warmUpMillis(entry) * 1_000_000L;
+    }
+
+    /** Returns the time for which a server is cold after its start. */
+    public long warmUpMillis(ServerRegistration entry) {
         ServiceSpec service = mServices.get(entry.service());
-        return service == null ? 0 : service.warmUpMillis() * 1_000_000L;
+        return service == null ? 0 : service.warmUpMillis();
     }
 
     private void rebuild() {
@@ -122,6 +127,23 @@
         }
     }
 
+    /** Applies the warm-ups that the registrations do not tell. */
+    public void applyWarmUps(ServerWarmUpTable warmUps) {
+        for (Backend backend : mById.values()) {
+            backend.warmUp(warmUps.warmUp(backend.registration()));
+        }
+    }
+
+    /** Returns the number of servers that support only the rate of a cold server. */
+    public int coldCount(long nowNanos) {
+        return (int) mById.values().stream().filter(backend -> backend.cold(nowNanos)).count();
+    }
+
+    /** Returns the servers to which requests may be sent. */
+    public List<Backend> usable() {
+        return mUsableByService.values().stream().flatMap(List::stream).toList();
+    }
+
     /** Returns the servers that have named a rate limit, ordered by id. */
     public List<Backend> limited() {
         return mById.values().stream()
--- a/core/src/main/java/org/redwingladder/steering/ServerRateLimit.java
+++ b/core/src/main/java/org/redwingladder/steering/ServerRateLimit.java
@@ -13,11 +13,8 @@
  * @param source the name of the host that read the answer
  */
 public record ServerRateLimit(
-        String server,
-        long startedMillis,
-        @Nullable Double perSecond,
-        long version,
-        String source) {
+        String server, long startedMillis, @Nullable Double perSecond, long version, String source)
+        implements ServerCondition<ServerRateLimit> {
     public ServerRateLimit {
         if (perSecond != null && !(perSecond >= 0 && perSecond < Double.POSITIVE_INFINITY)) {
             throw new IllegalArgumentException("server " + server + ": limit " + perSecond);
@@ -29,16 +26,19 @@
         return perSecond == null ? Double.POSITIVE_INFINITY : perSecond;
     }
 
-    /**
-     * Returns whether this limit replaces {@code other}, which concerns the same incarnation. Of
-     * two limits that hosts read at the same time, the lower one is in force.
-     */
-    boolean supersedes(ServerRateLimit other) {
+    /** Of two limits that hosts read at the same time, the lower one is in force. */
+    @Override
+    public boolean supersedes(ServerRateLimit other) {
         return version != other.version
                 ? version > other.version
                 : effectivePerSecond() < other.effectivePerSecond();
     }
 
+    @Override
+    public int statementHash() {
+        return Double.hashCode(effectivePerSecond());
+    }
+
     /** Returns whether the limit concerns the incarnation that a registration describes. */
     boolean concerns(ServerRegistration registration) {
         return server.equals(registration.id()) && startedMillis == registration.startedMillis();
--- a/core/src/test/java/org/redwingladder/steering/ServerRateLimitTableTest.java
+++ b/core/src/test/java/org/redwingladder/steering/ServerRateLimitTableTest.java
@@ -86,11 +86,11 @@
         @Test
         void withdrawalReplacesLimitOnAllHosts() {
             record(limit(3), 0, 1);
-            mOther.merge(mTable.registeredLimits(), 2);
+            mOther.merge(mTable.registered(), 2);
             record(NONE, 3, 4);
-            assertThat(mTable.merge(mOther.registeredLimits(), 5)).isEmpty();
+            assertThat(mTable.merge(mOther.registered(), 5)).isEmpty();
             assertThat(perSecond()).isInfinite();
-            assertThat(mOther.merge(mTable.registeredLimits(), 6)).hasSize(1);
+            assertThat(mOther.merge(mTable.registered(), 6)).hasSize(1);
             assertThat(mOther.perSecond(mServer)).isInfinite();
             assertThat(mTable.digest()).isEqualTo(mOther.digest());
         }
@@ -99,8 +99,8 @@
         void agreeOnTheLowerOfConcurrentLimits() {
             record(limit(3), 0, 1);
             mOther.recordAnswer(mServer, limit(9), 0, 1);
-            List<ServerRateLimit> others = mOther.registeredLimits();
-            mOther.merge(mTable.registeredLimits(), 2);
+            List<ServerRateLimit> others = mOther.registered();
+            mOther.merge(mTable.registered(), 2);
             mTable.merge(others, 2);
             assertThat(perSecond()).isEqualTo(3);
             assertThat(mOther.perSecond(mServer)).isEqualTo(3);
@@ -126,7 +126,7 @@
             record(limit(3), 0, 1);
             mTable.updateServers(List.of(server(2)), 2);
             assertThat(mTable.perSecond(server(2))).isInfinite();
-            assertThat(mTable.registeredLimits()).isEmpty();
+            assertThat(mTable.registered()).isEmpty();
         }
 
         /** News of a limit may arrive before news of the server. */
@@ -142,7 +142,7 @@
         void limitOfRemovedServerIsNeitherForwardedNorKept() {
             record(limit(3), 0, 1);
             mTable.updateServers(List.of(), SECOND);
-            assertThat(mTable.registeredLimits()).isEmpty();
+            assertThat(mTable.registered()).isEmpty();
             assertThat(perSecond()).isEqualTo(3);
             mTable.removeExpired(60 * SECOND);
             assertThat(perSecond()).isInfinite();
--- a/core/src/test/java/org/redwingladder/steering/SharedRateSimulation.java
+++ b/core/src/test/java/org/redwingladder/steering/SharedRateSimulation.java
@@ -214,8 +214,8 @@
                 other.mMembers.merge(sent, mNow);
                 mMembers.merge(other.mMembers.recentStatesNewerThan(sent, mNow), mNow);
                 if (mLimits.digest() != other.mLimits.digest()) {
-                    mergeLimits(other.mLimits.registeredLimits());
-                    other.mergeLimits(mLimits.registeredLimits());
+                    mergeLimits(other.mLimits.registered());
+                    other.mergeLimits(mLimits.registered());
                 }
             }
         }
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -82,6 +82,7 @@
     private final StoreReplica mReplica;
     private final GossipService mGossip;
     private final FreshnessService mFreshness;
+    private final ServerHealthChecks mHealthChecks;
     private final HostRegistration mRegistration;
     private final ProxyHandler mProxy;
     private final RequestRateMeter mRequestRates = new RequestRateMeter(System.nanoTime());
@@ -101,8 +102,8 @@
         mWire = wire;
         mLog = log;
         mMembers = GossipMembership.create(config.host());
-        RateLimits rateLimits = new RateLimits(config.host(), log);
-        mRouter = new RequestRouter(config, mMembers, rateLimits, mMetrics, log);
+        ServerConditions conditions = new ServerConditions(config.host(), log);
+        mRouter = new RequestRouter(config, mMembers, conditions, mMetrics, log);
         mWorker =
                 Xnio.getInstance()
                         .createWorker(
@@ -128,7 +129,7 @@
                         config,
                         mMembers,
                         mReplica,
-                        rateLimits,
+                        conditions,
                         mHttpClient,
                         mThread,
                         log,
@@ -136,6 +137,9 @@
         mFreshness =
                 new FreshnessService(
                         config, mMembers, mReplica, mHttpClient, mThread, log, mMetrics);
+        mHealthChecks =
+                new ServerHealthChecks(
+                        mRouter, wire, mFreshness::storeAway, mHttpClient, mThread, mMetrics);
         mRegistration = new HostRegistration(config.host(), mMembers, mThread, log);
         mProxy =
                 new ProxyHandler(
@@ -193,6 +197,7 @@
         mMetrics.gauge("hosts.alive", () -> mMembers.alive(System.nanoTime()).size());
         mMetrics.gauge("settings.version", this::settingsVersion);
         mMetrics.gauge("servers.limited", mRouter::limitedServers);
+        mMetrics.gauge("servers.cold", mRouter::coldServers);
         mMetrics.gauge("store.era", mReplica::era);
         mReplica.storeEra()
                 .onRestore(
@@ -204,6 +209,7 @@
                     mReplica.start(store, mGossip::pushChanges);
                     mGossip.start(this::nextSelfEntry, this::raiseStartTime);
                     mFreshness.start(store);
+                    mHealthChecks.start();
                     mRegistration.start(store, this::nextSelfEntry);
                     mThread.executeAfter(
                             this::runPeriodicTasks, PERIODIC_TASKS_MILLIS, TimeUnit.MILLISECONDS);
@@ -365,6 +371,7 @@
         mProxy.abortAll();
         mReplica.stop();
         mFreshness.stop();
+        mHealthChecks.stop();
         mGossip.stop();
         // A client that cannot connect uses another host at once, while a connection that is open
         // when the process ends is reset.
--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -16,6 +16,7 @@
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.ServerRateLimit;
+import org.redwingladder.steering.ServerWarmUp;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -28,7 +29,8 @@
     private static final String COPY = "/peer/copy";
     private static final String CHANGES = "/peer/changes";
     private static final String LIMITS = "/peer/limits";
-    private static final Set<String> PEER_PATHS = Set.of(EXCHANGE, COPY, CHANGES, LIMITS);
+    private static final String WARM_UPS = "/peer/warm-ups";
+    private static final Set<String> PEER_PATHS = Set.of(EXCHANGE, COPY, CHANGES, LIMITS, WARM_UPS);
     private static final String METRICS = "/metrics";
 
     /** Allows four rounds before a host of the same zone is considered dead. */
@@ -45,8 +47,10 @@
     private final EntryConfig mConfig;
     private final GossipMembership mMembers;
     private final StoreReplica mStoreReplica;
-    private final RateLimits mRateLimits;
-    private final RateLimitGossip mRateLimitGossip;
+    private final ReplicatedConditions<ServerRateLimit> mLimits;
+    private final ServerConditionGossip<ServerRateLimit> mLimitGossip;
+    private final ReplicatedConditions<ServerWarmUp> mWarmUps;
+    private final ServerConditionGossip<ServerWarmUp> mWarmUpGossip;
     private final PeerClient mPeers;
     private final PeerMessageReader mMessages = new PeerMessageReader();
     private final XnioIoThread mThread;
@@ -82,7 +86,7 @@
             EntryConfig config,
             GossipMembership members,
             StoreReplica replica,
-            RateLimits rateLimits,
+            ServerConditions conditions,
             AsyncHttpClient httpClient,
             XnioIoThread thread,
             EventLog log,
@@ -91,18 +95,28 @@
         mSeeds = config.seeds();
         mMembers = members;
         mStoreReplica = replica;
-        mRateLimits = rateLimits;
+        mLimits = conditions.rateLimits().replicated();
+        mWarmUps = conditions.warmUps().replicated();
         mPeers = new PeerClient(httpClient, thread, log, metrics);
         mThread = thread;
         mLog = log;
         mMetrics = metrics;
-        mRateLimitGossip =
-                new RateLimitGossip(
-                        config,
-                        members,
-                        rateLimits,
-                        thread,
-                        (address, push) -> call(address, LIMITS, push, body -> {}));
+        mLimitGossip =
+                new ServerConditionGossip<>(config, members, mLimits, thread, this::sendLimits);
+        mWarmUpGossip =
+                new ServerConditionGossip<>(config, members, mWarmUps, thread, this::sendWarmUps);
+    }
+
+    private void sendLimits(String address, List<ServerRateLimit> limits) {
+        call(address, LIMITS, new PeerMessages.RateLimitPush(limits), body -> {});
+    }
+
+    private void sendWarmUps(String address, List<ServerWarmUp> warmUps) {
+        call(
+                address,
+                WARM_UPS,
+                new PeerMessages.WarmUpPush(PeerMessages.WarmUp.ofAll(warmUps, System.nanoTime())),
+                body -> {});
     }
 
     /** Contacts the seeds and starts the gossip rounds. */
@@ -216,7 +230,9 @@
     }
 
     private PeerMessages.GossipMessage gossipMessage(
-            List<HostState> entries, @Nullable List<ServerRateLimit> limits) {
+            List<HostState> entries,
+            @Nullable List<ServerRateLimit> limits,
+            @Nullable List<ServerWarmUp> warmUps) {
         StoreVersion control = mStoreReplica.table(StoreTable.CONTROL).lastChange();
         StoreVersion servers = mStoreReplica.table(StoreTable.SERVERS).lastChange();
         return new PeerMessages.GossipMessage(
@@ -224,8 +240,10 @@
                 entries,
                 control.number(),
                 servers.number(),
-                mRateLimits.table().digest(),
+                mLimits.digest(),
                 limits,
+                mWarmUps.digest(),
+                warmUps == null ? null : PeerMessages.WarmUp.ofAll(warmUps, System.nanoTime()),
                 control.era(),
                 servers.era());
     }
@@ -234,16 +252,23 @@
         call(
                 address,
                 EXCHANGE,
-                gossipMessage(mMembers.recentStates(System.nanoTime()), null),
+                gossipMessage(mMembers.recentStates(System.nanoTime()), null, null),
                 body -> {
                     PeerMessages.GossipMessage response =
                             PeerCodec.decode(body, PeerMessages.GossipMessage.class);
                     mAnyResponseSeen = true;
                     mergeGossip(address, response);
-                    mRateLimitGossip.reconcile(address, response.limitsDigest(), response.limits());
+                    mLimitGossip.reconcile(address, response.limitsDigest(), response.limits());
+                    mWarmUpGossip.reconcile(
+                            address, response.warmUpsDigest(), received(response.warmUps()));
                 });
     }
 
+    private static @Nullable List<ServerWarmUp> received(
+            @Nullable List<PeerMessages.WarmUp> warmUps) {
+        return warmUps == null ? null : PeerMessages.WarmUp.receivedAll(warmUps, System.nanoTime());
+    }
+
     private void call(String address, String path, Object message, PeerClient.BodyReader reader) {
         mPeers.call(address, path, PeerCodec.encode(message), reader);
     }
@@ -346,10 +371,15 @@
                         PeerCodec.encode(
                                 gossipMessage(
                                         newerEntries,
-                                        mRateLimitGossip.limitsFor(message.limitsDigest()))));
+                                        mLimitGossip.conditionsFor(message.limitsDigest()),
+                                        mWarmUpGossip.conditionsFor(message.warmUpsDigest()))));
             } else if (path.equals(LIMITS)) {
-                mRateLimits.merge(
-                        PeerCodec.decode(body, PeerMessages.RateLimitPush.class).limits());
+                mLimits.merge(PeerCodec.decode(body, PeerMessages.RateLimitPush.class).limits());
+                Responses.text(exchange, 200, "");
+            } else if (path.equals(WARM_UPS)) {
+                PeerMessages.WarmUpPush push =
+                        PeerCodec.decode(body, PeerMessages.WarmUpPush.class);
+                mWarmUps.merge(PeerMessages.WarmUp.receivedAll(push.warmUps(), System.nanoTime()));
                 Responses.text(exchange, 200, "");
             } else if (path.equals(CHANGES)) {
                 PeerMessages.ChangePush push =
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.ServerRateLimit;
+import org.redwingladder.steering.ServerWarmUp;
 
 /** The messages of the gossip and replication protocol between entry hosts. */
 final class PeerMessages {
@@ -21,6 +23,9 @@
      *     none
      * @param limits these rate limits in a response to a message with another digest; otherwise
      *     null, as in messages of hosts that do not send rate limits
+     * @param warmUpsDigest a hash of the warm-ups of servers that the sender knows beside their
+     *     registrations, 0 if it knows none
+     * @param warmUps these warm-ups, under the same condition as {@code limits}
      * @param controlEra the era of {@code controlChanged}; 0 if none is known, as in messages of
      *     hosts that do not send eras
      * @param serversEra the era of {@code serversChanged}
@@ -32,6 +37,8 @@
             long serversChanged,
             long limitsDigest,
             @Nullable List<ServerRateLimit> limits,
+            long warmUpsDigest,
+            @Nullable List<WarmUp> warmUps,
             long controlEra,
             long serversEra) {
         /** Returns the version of the last known change of the control table. */
@@ -54,6 +61,72 @@
         }
     }
 
+    /** Warm-ups that the receiver may not know yet. */
+    record WarmUpPush(List<WarmUp> warmUps) {
+        WarmUpPush {
+            if (warmUps == null) {
+                throw new IllegalArgumentException("missing warm-ups");
+            }
+        }
+    }
+
+    /**
+     * The warm-up of a server, with the time that is left as hosts have no common clock.
+     *
+     * @param coldMillis for how much longer the server is cold, null while it is absent; the other
+     *     components are those of {@link ServerWarmUp}
+     */
+    record WarmUp(
+            String server,
+            long startedMillis,
+            @Nullable Long coldMillis,
+            long version,
+            String source) {
+        private static final long MAX_COLD_MILLIS = TimeUnit.DAYS.toMillis(1);
+
+        WarmUp {
+            if (coldMillis != null && !(coldMillis >= 0 && coldMillis <= MAX_COLD_MILLIS)) {
+                throw new IllegalArgumentException("server " + server + ": cold " + coldMillis);
+            }
+        }
+
+        static WarmUp of(ServerWarmUp warmUp, long nowNanos) {
+            Long left =
+                    switch (warmUp.state()) {
+                        case ServerWarmUp.State.Awaited awaited -> null;
+                        case ServerWarmUp.State.Begun begun ->
+                                Math.clamp(
+                                        TimeUnit.NANOSECONDS.toMillis(
+                                                begun.untilNanos() - nowNanos),
+                                        0,
+                                        MAX_COLD_MILLIS);
+                    };
+            return new WarmUp(
+                    warmUp.server(),
+                    warmUp.startedMillis(),
+                    left,
+                    warmUp.version(),
+                    warmUp.source());
+        }
+
+        ServerWarmUp received(long nowNanos) {
+            ServerWarmUp.State state =
+                    coldMillis == null
+                            ? new ServerWarmUp.State.Awaited()
+                            : new ServerWarmUp.State.Begun(
+                                    nowNanos + TimeUnit.MILLISECONDS.toNanos(coldMillis));
+            return new ServerWarmUp(server, startedMillis, state, version, source);
+        }
+
+        static List<WarmUp> ofAll(List<ServerWarmUp> warmUps, long nowNanos) {
+            return warmUps.stream().map(warmUp -> of(warmUp, nowNanos)).toList();
+        }
+
+        static List<ServerWarmUp> receivedAll(List<WarmUp> warmUps, long nowNanos) {
+            return warmUps.stream().map(warmUp -> warmUp.received(nowNanos)).toList();
+        }
+    }
+
     /**
      * A snapshot of a table.
      *
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -12,6 +12,7 @@
 import org.redwingladder.http.Call;
 import org.redwingladder.http.CallException;
 import org.redwingladder.http.DeadlineTimer;
+import org.redwingladder.http.NotSentException;
 import org.redwingladder.http.ReadyEvents;
 import org.redwingladder.http.RequestBody;
 import org.redwingladder.http.ResponseHandler;
@@ -313,9 +314,7 @@
             if (server.load() != null) {
                 mBackend.recordLoad(server.load(), System.nanoTime());
             }
-            if (server.statesRateLimit()) {
-                mHandler.router().recordRateLimit(mBackend, server.limit(), mSentNanos);
-            }
+            mHandler.router().recordStatements(mBackend, server, mSentNanos);
             return SendResult.ofResponse(
                     status, server.notRun(), server.misdirected(), server.processed());
         }
@@ -355,6 +354,8 @@
             SendResult result = RequestRouter.resultOf(cause);
             if (cause instanceof ResponseLostException lost) {
                 mHandler.router().recordLostResponse(mService, lost, mSentNanos);
+            } else if (cause instanceof NotSentException notSent) {
+                mHandler.router().recordNotSent(mBackend, notSent, mSentNanos);
             }
             if (end(result)) {
                 retryOrFail(result);
--- a/daemon/src/main/java/org/redwingladder/entry/RateLimits.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RateLimits.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.redwingladder.steering.RateLimitStatement;
 import org.redwingladder.steering.ServerRateLimit;
 import org.redwingladder.steering.ServerRateLimitTable;
@@ -18,28 +17,23 @@
     private final ServerRateLimitTable mTable;
     private final EventLog mLog;
     private final Set<String> mUnreadable = new HashSet<>();
-    private Runnable mOnChange = () -> {};
-    private Consumer<List<ServerRateLimit>> mForwarder = limits -> {};
+    private final ReplicatedConditions<ServerRateLimit> mReplicated;
 
     RateLimits(String host, EventLog log) {
         mTable = ServerRateLimitTable.create(host);
         mLog = log;
-    }
-
-    /** Sets the action that applies changed limits to the choice of servers. */
-    void onChange(Runnable action) {
-        mOnChange = action;
-    }
-
-    /** Sets the receiver of limits that are new to this host, which other hosts may not know. */
-    void forwarder(Consumer<List<ServerRateLimit>> forwarder) {
-        mForwarder = forwarder;
+        mReplicated = new ReplicatedConditions<>(mTable, this::log);
     }
 
     ServerRateLimitTable table() {
         return mTable;
     }
 
+    /** Returns the limits as hosts tell them to each other. */
+    ReplicatedConditions<ServerRateLimit> replicated() {
+        return mReplicated;
+    }
+
     /** Replaces the registered servers. */
     void updateServers(Collection<ServerRegistration> servers, long nowNanos) {
         mTable.updateServers(servers, nowNanos);
@@ -66,28 +60,16 @@
         ServerRateLimit changed =
                 mTable.recordAnswer(server, statement, sentNanos, System.nanoTime());
         if (changed != null) {
-            changed(List.of(changed));
+            mReplicated.changed(List.of(changed));
         }
     }
 
-    /** Merges limits that another host sent. */
-    void merge(Collection<ServerRateLimit> limits) {
-        List<ServerRateLimit> changed = mTable.merge(limits, System.nanoTime());
-        if (!changed.isEmpty()) {
-            changed(changed);
-        }
-    }
-
-    private void changed(List<ServerRateLimit> limits) {
-        for (ServerRateLimit limit : limits) {
-            mLog.event("state", limit.perSecond() == null ? "server-limit-ended" : "server-limit")
-                    .with("server", limit.server())
-                    .with("perSecond", limit.perSecond())
-                    .with("version", limit.version())
-                    .with("from", limit.source())
-                    .write();
-        }
-        mOnChange.run();
-        mForwarder.accept(limits);
+    private void log(ServerRateLimit limit) {
+        mLog.event("state", limit.perSecond() == null ? "server-limit-ended" : "server-limit")
+                .with("server", limit.server())
+                .with("perSecond", limit.perSecond())
+                .with("version", limit.version())
+                .with("from", limit.source())
+                .write();
     }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.redwingladder.entry;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -12,15 +13,16 @@
 import org.redwingladder.steering.BackendSet;
 import org.redwingladder.steering.BalancerDecision;
 import org.redwingladder.steering.GossipMembership;
+import org.redwingladder.steering.HealthCheckers;
 import org.redwingladder.steering.IdleConnectionLimit;
 import org.redwingladder.steering.LoadBalancer;
-import org.redwingladder.steering.RateLimitStatement;
 import org.redwingladder.steering.Route;
 import org.redwingladder.steering.RouteTable;
 import org.redwingladder.steering.SendResult;
 import org.redwingladder.steering.SenderSelector;
 import org.redwingladder.steering.SenderShare;
 import org.redwingladder.steering.ServerRegistration;
+import org.redwingladder.steering.ServiceSpec;
 import org.redwingladder.steering.ServiceTimeEstimator;
 import org.redwingladder.steering.SlidingWindowRetryBudget;
 import org.redwingladder.steering.SteeringSettings;
@@ -48,7 +50,7 @@
     private final LoadBalancer mPlacer;
     private final Map<String, SlidingWindowRetryBudget> mRetryBudgets = new HashMap<>();
     private final Map<String, IdleConnectionLimit> mIdleLimits = new HashMap<>();
-    private final RateLimits mRateLimits;
+    private final ServerConditions mConditions;
     private final RateLimitMetrics mRateLimitMetrics;
     private final SenderSelector mSenders;
     private long mSendersExpireNanos = System.nanoTime();
@@ -60,7 +62,7 @@
     RequestRouter(
             EntryConfig config,
             GossipMembership members,
-            RateLimits rateLimits,
+            ServerConditions conditions,
             EntryMetrics metrics,
             EventLog log) {
         mConfig = config;
@@ -74,9 +76,10 @@
                         mBackends,
                         mServiceTimes,
                         (from, to) -> from.equals(to) ? 0 : CROSS_REGION_MILLIS);
-        mRateLimits = rateLimits;
+        mConditions = conditions;
         mRateLimitMetrics = new RateLimitMetrics(metrics);
-        mRateLimits.onChange(this::applyRateLimits);
+        conditions.rateLimits().replicated().onChange(this::applyRateLimits);
+        conditions.warmUps().replicated().onChange(this::applyWarmUps);
         mSenders = SenderSelector.create(config.host());
         mPlacer.rateShares(this::rateShare);
     }
@@ -95,10 +98,14 @@
     }
 
     private void applyRateLimits() {
-        mBackends.applyRateLimits(mRateLimits.table());
+        mBackends.applyRateLimits(mConditions.rateLimits().table());
         mRateLimitMetrics.update(mBackends.limited());
     }
 
+    private void applyWarmUps() {
+        mBackends.applyWarmUps(mConditions.warmUps().table());
+    }
+
     /** Returns the share of a server's rate that this host may use. */
     private SenderShare rateShare(String service, String serverId, int maxSenders) {
         long now = System.nanoTime();
@@ -132,8 +139,9 @@
         int before = mBackends.size();
         long now = System.nanoTime();
         mBackends.updateServers(servers.values(), now);
-        mRateLimits.updateServers(servers.values(), now);
+        mConditions.updateServers(servers.values(), now);
         applyRateLimits();
+        applyWarmUps();
         if (before != mBackends.size()) {
             mLog.event("state", "servers").with("count", mBackends.size()).write();
         }
@@ -209,9 +217,66 @@
         }
     }
 
-    /** Records the rate limit that an answer of a server states. */
-    void recordRateLimit(Backend backend, RateLimitStatement statement, long sentNanos) {
-        mRateLimits.recordAnswer(backend.registration(), statement, sentNanos);
+    /** Records what a response of a server states beside its result. */
+    void recordStatements(Backend backend, WireFormat.ServerHeaders response, long sentNanos) {
+        ServerRegistration server = backend.registration();
+        if (response.statesRateLimit()) {
+            mConditions.rateLimits().recordAnswer(server, response.limit(), sentNanos);
+        }
+        if (response.fromExpectedServer()) {
+            recordAnswer(server, response.coldMillis(), sentNanos);
+        }
+    }
+
+    /** Records a server's answer to a health check. */
+    void recordHealth(Backend backend, WireFormat.Health health, long sentNanos) {
+        ServerRegistration server = backend.registration();
+        if (health.serverId() == null || health.serverId().equals(server.id())) {
+            recordAnswer(server, health.coldMillis(), sentNanos);
+        }
+    }
+
+    private void recordAnswer(
+            ServerRegistration server, @Nullable Long coldMillis, long sentNanos) {
+        mConditions
+                .warmUps()
+                .recordAnswer(server, coldMillis, mBackends.warmUpMillis(server), sentNanos);
+    }
+
+    /** Records why a request or a health check did not reach a server. */
+    void recordNotSent(Backend backend, NotSentException cause, long sentNanos) {
+        if (cause.reason() == NotSentException.Cause.NOT_LISTENING) {
+            mConditions.warmUps().recordNotListening(backend.registration(), sentNanos);
+        }
+    }
+
+    /**
+     * Returns the servers whose health this host has to check.
+     *
+     * @param all whether all servers are to be checked, or only those that are absent
+     */
+    List<Backend> serversToCheck(boolean all) {
+        List<Backend> due =
+                mBackends.usable().stream().filter(backend -> all || backend.absent()).toList();
+        if (due.isEmpty()) {
+            return due;
+        }
+        HealthCheckers checkers =
+                HealthCheckers.among(mMembers.alive(System.nanoTime()), mConfig.regionOfZone());
+        return due.stream()
+                .filter(b -> checkers.isChecker(mConfig.host(), b.registration()))
+                .toList();
+    }
+
+    /** Returns the path for health checks of a server, null if its service has none. */
+    @Nullable String healthPath(Backend backend) {
+        ServiceSpec service = mBackends.service(backend.registration().service());
+        return service == null ? null : service.healthPath();
+    }
+
+    /** Returns the number of cold servers. */
+    int coldServers() {
+        return mBackends.coldCount(System.nanoTime());
     }
 
     /** Returns the number of servers that have named a rate limit. */
@@ -261,7 +326,7 @@
     void rebalance() {
         long now = System.nanoTime();
         updateSenders(now);
-        mRateLimits.table().removeExpired(now);
+        mConditions.removeExpired(now);
         mPlacer.hostCount(mMembers.budgetSharers(now));
         mPlacer.updateRegionShares(
                 mMembers.demandByServiceAndRegion(mConfig.regionOfZone(), now), now);
--- a/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
+++ b/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
@@ -35,24 +35,41 @@
      * @param processed whether the response proves that the server processed the request
      * @param load the server's reported load, null if the response contains no valid report
      * @param limit the request rate that the server accepts from all hosts together
+     * @param coldMillis for how much longer the server says that it is cold, null if it says
+     *     nothing
      */
     record ServerHeaders(
             boolean notRun,
             boolean misdirected,
             boolean processed,
             @Nullable LoadSample load,
-            RateLimitStatement limit) {
+            RateLimitStatement limit,
+            @Nullable Long coldMillis) {
+
+        /** Returns whether the expected server sent the response. */
+        boolean fromExpectedServer() {
+            return !misdirected && (processed || notRun);
+        }
 
         /**
          * Returns whether {@link #limit} is a statement of the expected server. A rejection may
          * omit the limit that the server states in its other responses.
          */
         boolean statesRateLimit() {
-            return !misdirected
-                    && (processed || (notRun && !(limit instanceof RateLimitStatement.Unlimited)));
+            return fromExpectedServer()
+                    && (processed || !(limit instanceof RateLimitStatement.Unlimited));
         }
     }
 
+    /**
+     * A backend server's answer to a health check.
+     *
+     * @param serverId the id that the server states, null if it states none
+     * @param coldMillis for how much longer the server says that it is cold, null if it says
+     *     nothing
+     */
+    record Health(@Nullable String serverId, @Nullable Long coldMillis) {}
+
     /**
      * A client's look-up of entry hosts.
      *
@@ -67,6 +84,9 @@
     /** Decodes the status and headers of a backend server's response. */
     ServerHeaders parseServerHeaders(int status, HeaderMap headers);
 
+    /** Decodes the headers of an answer to a health check. */
+    Health parseHealth(HeaderMap headers);
+
     /** Returns the name of the header that correlates responses with requests. */
     HttpString requestIdHeader();
 
--- a/daemon/src/main/java/org/redwingladder/request/BackendAttempt.java
+++ b/daemon/src/main/java/org/redwingladder/request/BackendAttempt.java
@@ -94,9 +94,11 @@
     static AttemptResult resultOf(CallException cause) {
         return switch (cause) {
             case NotSentException notSent ->
-                    notSent.reason() == NotSentException.Cause.REFUSED
-                            ? AttemptResult.CONNECTION_REFUSED
-                            : AttemptResult.SHED;
+                    switch (notSent.reason()) {
+                        case NOT_LISTENING, REFUSED -> AttemptResult.CONNECTION_REFUSED;
+                        case POOL_FULL, DEADLINE, CANCELLED, WITHDRAWN, CLOSED ->
+                                AttemptResult.SHED;
+                    };
             case InvalidResponseException bad -> AttemptResult.INVALID_RESPONSE;
             case ResponseLostException lost ->
                     lost.reason() == ResponseLostException.Cause.RECEIVER_GONE
--- a/daemon/src/test/java/org/redwingladder/entry/ChangePropagationTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/ChangePropagationTest.java
@@ -37,7 +37,7 @@
     private final class Host {
         private final ScriptedStoreClient mStore = new ScriptedStoreClient();
         private final GossipMembership mMembers;
-        private final RateLimits mRateLimits;
+        private final ServerConditions mConditions;
         private final StoreReplica mReplica;
         private final GossipService mGossip;
         private final Undertow mListener;
@@ -49,7 +49,7 @@
             mMembers = GossipMembership.create(name);
             mListener = mThread.listen(this::handle);
             EventLog log = EventLog.of(name);
-            mRateLimits = new RateLimits(name, log);
+            mConditions = new ServerConditions(name, log);
             mReplica =
                     new StoreReplica(
                             new TestRowDecoder(),
@@ -61,7 +61,7 @@
                             TestConfig.host(name, address()),
                             mMembers,
                             mReplica,
-                            mRateLimits,
+                            mConditions,
                             mHttpClient,
                             mThread.thread(),
                             log,
@@ -221,7 +221,7 @@
 
         private long informed() {
             return mHosts.stream()
-                    .filter(host -> host.mRateLimits.table().perSecond(mServer) == 5.3)
+                    .filter(host -> host.mConditions.rateLimits().table().perSecond(mServer) == 5.3)
                     .count();
         }
 
@@ -234,7 +234,8 @@
             mThread.run(
                     () ->
                             mHosts.get(0)
-                                    .mRateLimits
+                                    .mConditions
+                                    .rateLimits()
                                     .recordAnswer(mServer, new RateLimitStatement.Limited(5.3), 1));
             // Each host forwards to five others, so that about one in 150 is missed.
             mThread.await(() -> informed() >= HOSTS * 0.9);
--- a/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
@@ -38,6 +38,10 @@
                 42,
                 99,
                 List.of(new ServerRateLimit("i-1", 1, 5.3, 2, "h1")),
+                98,
+                List.of(
+                        new PeerMessages.WarmUp("i-1", 1, 2500L, 2, "h1"),
+                        new PeerMessages.WarmUp("i-2", 1, null, 1, "h2")),
                 3,
                 4);
     }
@@ -101,6 +105,8 @@
                             PeerMessages.GossipMessage.class);
             assertThat(read.limitsDigest()).isZero();
             assertThat(read.limits()).isNull();
+            assertThat(read.warmUpsDigest()).isZero();
+            assertThat(read.warmUps()).isNull();
             Former former = PeerCodec.decode(PeerCodec.encode(gossipMessage(1)), Former.class);
             assertThat(former.serversChanged()).isEqualTo(42);
         }
@@ -123,6 +129,24 @@
             }
         }
 
+        @Test
+        void warmUpsThatAreMissingOrOfImpossibleLengthAreRejected() {
+            for (Object message :
+                    List.of(
+                            Map.of(),
+                            Map.of("warmUps", List.of(Map.of("server", "i", "coldMillis", -1))),
+                            Map.of(
+                                    "warmUps",
+                                    List.of(Map.of("server", "i", "coldMillis", 1L << 60))))) {
+                assertThatThrownBy(
+                                () ->
+                                        PeerCodec.decode(
+                                                PeerCodec.encode(message),
+                                                PeerMessages.WarmUpPush.class))
+                        .isInstanceOf(JsonException.class);
+            }
+        }
+
         /**
          * Guards against unchecked exceptions and against malformed messages taken as empty ones.
          */
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -10,6 +10,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -85,7 +86,9 @@
                 () ->
                         failWith(
                                 new NotSentException(
-                                        Cause.REFUSED,
+                                        cause instanceof ConnectException
+                                                ? Cause.NOT_LISTENING
+                                                : Cause.REFUSED,
                                         "no connection to "
                                                 + Addresses.format(mRequest.address())
                                                 + ": "
--- a/http/src/main/java/org/redwingladder/http/NotSentException.java
+++ b/http/src/main/java/org/redwingladder/http/NotSentException.java
@@ -5,7 +5,9 @@
 
     /** Why a request was not sent. */
     public enum Cause {
-        /** The address refused the connection or could not be reached. */
+        /** No process listens at the address, which can be reached. */
+        NOT_LISTENING,
+        /** The address could not be reached, or closed the new connection. */
         REFUSED,
         /** All connections to the address are in use. */
         POOL_FULL,
--- a/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
+++ b/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
@@ -43,8 +43,15 @@
     private volatile Handler mHandler;
 
     public ScriptedHttpServer(Handler handler) throws IOException {
+        this(handler, 0);
+    }
+
+    /** Creates a server at a port, 0 for any free one. */
+    public ScriptedHttpServer(Handler handler, int port) throws IOException {
         mHandler = handler;
-        mServer = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket();
+        mServer.setReuseAddress(true);
+        mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 100);
         mAcceptor = Thread.ofVirtual().start(this::accept);
     }
 
