Do not reuse connections from before a server stopped listening

One connection of the former process had outlived the crash; its answer was taken for the return of the server, whose warm-up then ended before it began.

Ruled out: an answer that was sent before the refusal (it does not count).

Change: a connection that began to open before a connect to its address was refused is not used for another request. Whatever answers afterwards is the process that listens next.

--- a/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
+++ b/http/src/main/java/org/redwingladder/http/AsyncHttpClient.java
@@ -9,6 +9,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.Map;
@@ -173,6 +174,7 @@
     private void connect(ConnectionPool pool, XnioIoThread thread, ClientCall call) {
         BoundedConnector connector =
                 mConnectors.computeIfAbsent(thread, key -> new BoundedConnector(thread));
+        int generation = pool.generation();
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
@@ -180,7 +182,10 @@
                             public void completed(ClientConnection connection) {
                                 PooledConnection pooled =
                                         new PooledConnection(
-                                                connection, connector.openedConduit(), pool);
+                                                connection,
+                                                connector.openedConduit(),
+                                                pool,
+                                                generation);
                                 connection.addCloseListener(c -> pooled.onClosed());
                                 call.connected(pooled);
                             }
@@ -188,7 +193,15 @@
                             @Override
                             public void failed(IOException cause) {
                                 pool.cancelReservation();
-                                call.connectFailed(cause);
+                                boolean notListening = cause instanceof ConnectException;
+                                if (notListening) {
+                                    pool.recordNotListening();
+                                }
+                                call.connectFailed(
+                                        notListening
+                                                ? NotSentException.Cause.NOT_LISTENING
+                                                : NotSentException.Cause.REFUSED,
+                                        cause);
                             }
                         },
                         URI.create("http://" + Addresses.format(pool.address())),
--- a/http/src/main/java/org/redwingladder/http/ClientCall.java
+++ b/http/src/main/java/org/redwingladder/http/ClientCall.java
@@ -10,7 +10,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.io.IOException;
-import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -81,14 +80,12 @@
                 });
     }
 
-    void connectFailed(IOException cause) {
+    void connectFailed(Cause reason, IOException cause) {
         runInThread(
                 () ->
                         failWith(
                                 new NotSentException(
-                                        cause instanceof ConnectException
-                                                ? Cause.NOT_LISTENING
-                                                : Cause.REFUSED,
+                                        reason,
                                         "no connection to "
                                                 + Addresses.format(mRequest.address())
                                                 + ": "
--- a/http/src/main/java/org/redwingladder/http/ConnectionPool.java
+++ b/http/src/main/java/org/redwingladder/http/ConnectionPool.java
@@ -25,6 +25,7 @@
     private final int mMaxOpen;
     private final Map<XnioIoThread, ArrayDeque<PooledConnection>> mIdle = new HashMap<>();
     private int mOpen;
+    private int mGeneration;
     private long mLastReservedNanos = System.nanoTime();
 
     ConnectionPool(InetSocketAddress address, int maxOpen) {
@@ -40,10 +41,23 @@
         return mOpen;
     }
 
+    /** Returns the generation of the connections that are opened now. */
+    synchronized int generation() {
+        return mGeneration;
+    }
+
+    /**
+     * Records that nothing listens at the address. Connections from before belong to a process that
+     * ends and are not reused, so that later responses come from the one that listens next.
+     */
+    synchronized void recordNotListening() {
+        mGeneration++;
+    }
+
     /**
      * Takes an idle connection, or returns null if there is none. A connection of another I/O
      * thread is taken only if the pool is at its limit. Connections that were idle for longer than
-     * {@code maxIdleNanos} are closed.
+     * {@code maxIdleNanos}, or are of an earlier generation, are closed.
      */
     synchronized @Nullable PooledConnection acquire(XnioIoThread preferred, long maxIdleNanos) {
         PooledConnection own = poll(mIdle.get(preferred), maxIdleNanos);
@@ -59,7 +73,7 @@
         return null;
     }
 
-    private static @Nullable PooledConnection poll(
+    private @Nullable PooledConnection poll(
             @Nullable ArrayDeque<PooledConnection> idle, long maxIdleNanos) {
         if (idle == null) {
             return null;
@@ -68,6 +82,7 @@
         PooledConnection connection = idle.pollFirst();
         while (connection != null
                 && (!connection.isOpen()
+                        || connection.generation() != mGeneration
                         || connection.expired(now)
                         || connection.idleNanos(now) > maxIdleNanos)) {
             PooledConnection unusable = connection;
--- a/http/src/main/java/org/redwingladder/http/PooledConnection.java
+++ b/http/src/main/java/org/redwingladder/http/PooledConnection.java
@@ -24,6 +24,7 @@
     private final ClientConnection mConnection;
     private final ResponseSourceConduit mSource;
     private final ConnectionPool mPool;
+    private final int mGeneration;
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile long mIdleSince;
     private volatile boolean mUsed;
@@ -31,11 +32,24 @@
     private volatile long mExpiresNanos;
     private boolean mCloseAfterResponse;
 
+    /**
+     * Creates a connection.
+     *
+     * @param generation the generation of the pool when the connection began to open
+     */
     PooledConnection(
-            ClientConnection connection, ResponseSourceConduit source, ConnectionPool pool) {
+            ClientConnection connection,
+            ResponseSourceConduit source,
+            ConnectionPool pool,
+            int generation) {
         mConnection = connection;
         mSource = source;
         mPool = pool;
+        mGeneration = generation;
+    }
+
+    int generation() {
+        return mGeneration;
     }
 
     ClientConnection connection() {
--- a/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
+++ b/http/src/test/java/org/redwingladder/http/ScriptedHttpServer.java
@@ -190,9 +190,8 @@
                 + "\r\n\r\n";
     }
 
-    /** Closes everything and returns when new connections are refused. */
-    @Override
-    public void close() throws IOException {
+    /** Ends to listen and returns when new connections are refused; open ones go on. */
+    public void stopListening() throws IOException {
         mServer.close();
         try {
             // The port stays open until the accepting thread has returned from the system call.
@@ -200,6 +199,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+    }
+
+    /** Closes everything and returns when new connections are refused. */
+    @Override
+    public void close() throws IOException {
+        stopListening();
         for (Socket socket : mSockets) {
             socket.close();
         }
