Check at once whether a server on which requests were lost still listens

What callers saw: after several lost requests a server is left alone for 2 to 8 s.

Cause: only connections of requests were looked at, and an ejected server gets none.

Change: when lost requests eject a server, the host checks its health on a new connection. A refusal is news for all hosts, as for a request.

--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -209,6 +209,7 @@
                     mReplica.start(store, mGossip::pushChanges);
                     mGossip.start(this::nextSelfEntry, this::raiseStartTime);
                     mFreshness.start(store);
+                    mRouter.onConnectionsLost(mHealthChecks::check);
                     mHealthChecks.start();
                     mRegistration.start(store, this::nextSelfEntry);
                     mThread.executeAfter(
--- a/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ProxiedRequest.java
@@ -272,6 +272,9 @@
                     System.nanoTime());
             mHandler.metrics().count("send." + result);
             mLog.attemptEnded(mBackend, mSentNanos, result);
+            if (mBackend.ejections() > ejections) {
+                mHandler.router().recordEjection(mBackend, result);
+            }
             if (mBackend.ejected() != ejected || mBackend.ejections() > ejections) {
                 mLog.ejectionChanged(mBackend, result);
             }
--- a/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
@@ -57,6 +57,7 @@
     private EntryConfig.Bounds mBounds;
     private @Nullable RouteTable mRoutes;
     private Consumer<SteeringSettings> mOnSettings = settings -> {};
+    private Consumer<Backend> mOnConnectionsLost = backend -> {};
     private long mSettingsVersion;
 
     RequestRouter(
@@ -89,6 +90,18 @@
         mOnSettings = receiver;
     }
 
+    /** Sets a consumer of servers that were ejected because requests at them were lost. */
+    void onConnectionsLost(Consumer<Backend> receiver) {
+        mOnConnectionsLost = receiver;
+    }
+
+    /** Records that a server was ejected because of the result of an attempt. */
+    void recordEjection(Backend backend, SendResult result) {
+        if (result == SendResult.LOST) {
+            mOnConnectionsLost.accept(backend);
+        }
+    }
+
     /** Replaces the bounds; if they changed, the retry budgets are reset. */
     void bounds(EntryConfig.Bounds bounds) {
         if (!bounds.equals(mBounds)) {
--- a/daemon/src/main/java/org/redwingladder/entry/ServerHealthChecks.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerHealthChecks.java
@@ -18,7 +18,8 @@
 /**
  * Asks backend servers for their health while nothing else tells whether they are cold: all of them
  * while the store is away, and those at whose address nothing listens. One host asks each server
- * and tells the others.
+ * and tells the others. A host also asks a server on which it has lost requests, since the server
+ * may have ended and return before the host uses it again.
  */
 final class ServerHealthChecks {
     private static final long PERIOD_MILLIS = 1_000;
@@ -72,17 +73,19 @@
         }
         try {
             for (Backend backend : mRouter.serversToCheck(mStoreAway.getAsBoolean())) {
-                String path = mRouter.healthPath(backend);
-                if (path != null && mInFlight.add(backend)) {
-                    check(backend, path);
-                }
+                check(backend);
             }
         } finally {
             schedule(PERIOD_MILLIS);
         }
     }
 
-    private void check(Backend backend, String path) {
+    /** Checks a server unless a check is in flight. */
+    void check(Backend backend) {
+        String path = mRouter.healthPath(backend);
+        if (path == null || !mInFlight.add(backend)) {
+            return;
+        }
         mMetrics.count("health.checks");
         long sent = System.nanoTime();
         CallRequest request =
@@ -93,6 +96,8 @@
                                 sent + TIMEOUT_NANOS)
                         .connectDeadlineNanos(sent + CONNECT_TIMEOUT_NANOS)
                         .sendCondition(() -> mRouter.maySend(backend))
+                        // Only a new connection tells whether the server still listens.
+                        .maxIdleNanos(backend.ejected() ? -1 : Long.MAX_VALUE)
                         .maxBufferedBytes(MAX_RESPONSE_BYTES);
         mHttpClient
                 .fetch(request)
