--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -17,6 +17,8 @@
             Set.of(
                     "evacuated",
                     "servers",
+                    "server-absent",
+                    "server-cold",
                     "server-ejected",
                     "server-limit",
                     "server-limit-ended",
