Obey what servers say of their leaving and of the time they want nothing

What callers see: a server that says in its answers that it leaves, or that rejects a request with a Retry-After, goes on getting requests from the host that it told so, and requests at a server that ends are lost.

Cause: nothing read these headers; what a server says of itself had no place in the code but for its rate limit.

Both statements are in one commit, as they are read in the same lines.

--- a/core/src/main/java/org/redwingladder/steering/Backend.java
+++ b/core/src/main/java/org/redwingladder/steering/Backend.java
@@ -42,6 +42,8 @@
     private long mPermitsDenied;
     private long mColdUntilNanos;
     private @Nullable ServerWarmUp mWarmUp;
+    private boolean mLeaving;
+    private @Nullable Long mHoldOffUntilNanos;
     private double mOtherHostsMeanLoad;
     private double mOtherHostsLastLoad;
     private long mLoadReportedNanos;
@@ -79,6 +81,27 @@
         mWarmUp = warmUp;
     }
 
+    /** Sets whether the server said that it leaves. */
+    void leaving(boolean leaving) {
+        mLeaving = leaving;
+    }
+
+    boolean leaving() {
+        return mLeaving;
+    }
+
+    /** Sends nothing more to the server until an instant, as it asked of this host. */
+    public void holdOffUntil(long nanos) {
+        if (mHoldOffUntilNanos == null || nanos - mHoldOffUntilNanos > 0) {
+            mHoldOffUntilNanos = nanos;
+        }
+    }
+
+    /** Returns for how much longer the server wants nothing from this host, in nanoseconds. */
+    public long holdOffNanos(long nowNanos) {
+        return mHoldOffUntilNanos == null ? 0 : Math.max(0, mHoldOffUntilNanos - nowNanos);
+    }
+
     /** Returns whether hosts found that nothing listens at the server's address. */
     public boolean absent() {
         return mWarmUp != null && mWarmUp.awaited();
@@ -126,6 +149,9 @@
      * ejected server receives one probe request at a time.
      */
     boolean usable(long nowNanos) {
+        if (holdOffNanos(nowNanos) > 0) {
+            return false;
+        }
         if (!mEjected) {
             return true;
         }
--- a/core/src/main/java/org/redwingladder/steering/BackendSet.java
+++ b/core/src/main/java/org/redwingladder/steering/BackendSet.java
@@ -12,8 +12,9 @@
 /**
  * The backend servers to which requests may be sent.
  *
- * <p>A server is unusable while it drains, while its zone is evacuated and after it deregisters.
- * Servers of a zone whose evacuation ends are treated as cold. Not thread-safe.
+ * <p>A server is unusable while it drains or after it said that it leaves, while its zone is
+ * evacuated and after it deregisters. Servers of a zone whose evacuation ends are treated as cold.
+ * Not thread-safe.
  */
 public final class BackendSet {
     private final Map<String, String> mRegionOfZone;
@@ -97,7 +98,7 @@
         mUsableByService.clear();
         mVersion++;
         for (Backend backend : mById.values()) {
-            if (mayReceive(backend.registration())) {
+            if (mayBeUsed(backend)) {
                 mUsableByService
                         .computeIfAbsent(backend.registration().service(), s -> new ArrayList<>())
                         .add(backend);
@@ -108,16 +109,19 @@
         }
     }
 
-    private boolean mayReceive(ServerRegistration entry) {
+    private boolean mayBeUsed(Backend backend) {
+        ServerRegistration entry = backend.registration();
         return !entry.draining()
+                && !backend.leaving()
                 && !mEvacuated.contains(entry.zone())
                 && mRegionOfZone.containsKey(entry.zone());
     }
 
     /** Returns whether requests may be sent to a server that was chosen before. */
-    public boolean mayReceive(Backend backend) {
-        ServerRegistration entry = backend.registration();
-        return mById.get(entry.id()) == backend && mayReceive(entry);
+    public boolean mayReceive(Backend backend, long nowNanos) {
+        return mById.get(backend.registration().id()) == backend
+                && mayBeUsed(backend)
+                && backend.holdOffNanos(nowNanos) == 0;
     }
 
     /** Applies the rates that servers accept. */
@@ -134,6 +138,19 @@
         }
     }
 
+    /** Applies what servers said of their leaving. */
+    public void applyLeavings(ServerLeavingTable leavings) {
+        boolean changed = false;
+        for (Backend backend : mById.values()) {
+            boolean leaving = leavings.leaving(backend.registration());
+            changed |= leaving != backend.leaving();
+            backend.leaving(leaving);
+        }
+        if (changed) {
+            rebuild();
+        }
+    }
+
     /** Returns the number of servers that support only the rate of a cold server. */
     public int coldCount(long nowNanos) {
         return (int) mById.values().stream().filter(backend -> backend.cold(nowNanos)).count();
--- a/core/src/main/java/org/redwingladder/steering/LoadBalancer.java
+++ b/core/src/main/java/org/redwingladder/steering/LoadBalancer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -82,8 +83,11 @@
      *
      * @param byRegion the servers to which the request may be sent, by region
      * @param limited the servers that are left out because of their rate limits
+     * @param holdOffNanos the shortest time after which a server that wants no requests may want
+     *     some again, {@link Long#MAX_VALUE} if there is no such server
      */
-    private record Candidates(Map<String, List<Backend>> byRegion, List<Backend> limited) {}
+    private record Candidates(
+            Map<String, List<Backend>> byRegion, List<Backend> limited, long holdOffNanos) {}
 
     /**
      * A request for which a server is selected.
@@ -191,7 +195,7 @@
         Candidates candidates = candidates(request, nowNanos);
         Map<String, List<Backend>> byRegion = candidates.byRegion();
         if (byRegion.isEmpty()) {
-            return refuseWithoutCandidate(request.service(), candidates.limited(), nowNanos);
+            return refuseWithoutCandidate(request.service(), candidates, nowNanos);
         }
         String region = chooseRegion(request, byRegion.keySet());
         Candidate best = leastCost(byRegion.get(region), request, nowNanos);
@@ -211,20 +215,27 @@
     }
 
     private BalancerDecision refuseWithoutCandidate(
-            String service, List<Backend> limited, long nowNanos) {
-        return limited.isEmpty()
-                ? new BalancerDecision.Refuse(
-                        BalancerDecision.Reason.NO_SERVER, MIN_RETRY_AFTER_MILLIS * 3, 0, 0, 0, 0)
-                : new BalancerDecision.Refuse(
-                        BalancerDecision.Reason.LIMITED,
-                        Math.clamp(
-                                mRates.promisePermit(service, limited, nowNanos),
-                                MIN_RETRY_AFTER_MILLIS,
-                                MAX_RETRY_AFTER_MILLIS),
-                        0,
-                        0,
-                        0,
-                        limited.size());
+            String service, Candidates candidates, long nowNanos) {
+        List<Backend> limited = candidates.limited();
+        if (limited.isEmpty()) {
+            long holdOff = TimeUnit.NANOSECONDS.toMillis(candidates.holdOffNanos());
+            long after =
+                    candidates.holdOffNanos() == Long.MAX_VALUE
+                            ? MIN_RETRY_AFTER_MILLIS * 3
+                            : Math.clamp(holdOff, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
+            return new BalancerDecision.Refuse(
+                    BalancerDecision.Reason.NO_SERVER, after, 0, 0, 0, 0);
+        }
+        return new BalancerDecision.Refuse(
+                BalancerDecision.Reason.LIMITED,
+                Math.clamp(
+                        mRates.promisePermit(service, limited, nowNanos),
+                        MIN_RETRY_AFTER_MILLIS,
+                        MAX_RETRY_AFTER_MILLIS),
+                0,
+                0,
+                0,
+                limited.size());
     }
 
     private double allowedWait(Request request, double serviceMillis, long nowNanos) {
@@ -244,9 +255,14 @@
     private Candidates candidates(Request request, long nowNanos) {
         Map<String, List<Backend>> byRegion = new TreeMap<>();
         List<Backend> limited = new ArrayList<>();
+        long shortestHoldOff = Long.MAX_VALUE;
         int maxInFlight = mRates.maxConnections(request.service());
         for (Backend backend : mRankings.ranked(request.service(), request.objectKey())) {
             String region = mBackends.regionOf(backend.registration().zone());
+            long holdOff = backend.holdOffNanos(nowNanos);
+            if (holdOff > 0 && request.route().allowsRegion(region)) {
+                shortestHoldOff = Math.min(shortestHoldOff, holdOff);
+            }
             if (request.route().allowsRegion(region)
                     && !request.excluded().contains(backend.registration())
                     && backend.usable(nowNanos)
@@ -259,7 +275,7 @@
                 }
             }
         }
-        return new Candidates(byRegion, limited);
+        return new Candidates(byRegion, limited, shortestHoldOff);
     }
 
     /**
--- a/core/src/main/java/org/redwingladder/steering/ServerCondition.java
+++ b/core/src/main/java/org/redwingladder/steering/ServerCondition.java
@@ -7,7 +7,7 @@
  * @param <T> the kind of condition
  */
 public sealed interface ServerCondition<T extends ServerCondition<T>>
-        permits ServerRateLimit, ServerWarmUp {
+        permits ServerLeaving, ServerRateLimit, ServerWarmUp {
     /** Returns the server's id. */
     String server();
 
--- a/core/src/main/java/org/redwingladder/steering/ServerConditionTable.java
+++ b/core/src/main/java/org/redwingladder/steering/ServerConditionTable.java
@@ -18,7 +18,7 @@
  * @param <T> the kind of condition
  */
 public abstract sealed class ServerConditionTable<T extends ServerCondition<T>>
-        permits ServerRateLimitTable, ServerWarmUpTable {
+        permits ServerLeavingTable, ServerRateLimitTable, ServerWarmUpTable {
     /**
      * Time for which the condition of a server without a registration is kept, since the news of a
      * registration and of the server's condition arrive in any order.
--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -15,6 +15,7 @@
 import org.redwingladder.http.JsonException;
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HostState;
+import org.redwingladder.steering.ServerLeaving;
 import org.redwingladder.steering.ServerRateLimit;
 import org.redwingladder.steering.ServerWarmUp;
 import org.xnio.XnioExecutor;
@@ -30,7 +31,9 @@
     private static final String CHANGES = "/peer/changes";
     private static final String LIMITS = "/peer/limits";
     private static final String WARM_UPS = "/peer/warm-ups";
-    private static final Set<String> PEER_PATHS = Set.of(EXCHANGE, COPY, CHANGES, LIMITS, WARM_UPS);
+    private static final String LEAVINGS = "/peer/leavings";
+    private static final Set<String> PEER_PATHS =
+            Set.of(EXCHANGE, COPY, CHANGES, LIMITS, WARM_UPS, LEAVINGS);
     private static final String METRICS = "/metrics";
 
     /** Allows four rounds before a host of the same zone is considered dead. */
@@ -51,6 +54,8 @@
     private final ServerConditionGossip<ServerRateLimit> mLimitGossip;
     private final ReplicatedConditions<ServerWarmUp> mWarmUps;
     private final ServerConditionGossip<ServerWarmUp> mWarmUpGossip;
+    private final ReplicatedConditions<ServerLeaving> mLeavings;
+    private final ServerConditionGossip<ServerLeaving> mLeavingGossip;
     private final PeerClient mPeers;
     private final PeerMessageReader mMessages = new PeerMessageReader();
     private final XnioIoThread mThread;
@@ -97,6 +102,7 @@
         mStoreReplica = replica;
         mLimits = conditions.rateLimits().replicated();
         mWarmUps = conditions.warmUps().replicated();
+        mLeavings = conditions.leavings().replicated();
         mPeers = new PeerClient(httpClient, thread, log, metrics);
         mThread = thread;
         mLog = log;
@@ -105,6 +111,8 @@
                 new ServerConditionGossip<>(config, members, mLimits, thread, this::sendLimits);
         mWarmUpGossip =
                 new ServerConditionGossip<>(config, members, mWarmUps, thread, this::sendWarmUps);
+        mLeavingGossip =
+                new ServerConditionGossip<>(config, members, mLeavings, thread, this::sendLeavings);
     }
 
     private void sendLimits(String address, List<ServerRateLimit> limits) {
@@ -119,6 +127,10 @@
                 body -> {});
     }
 
+    private void sendLeavings(String address, List<ServerLeaving> leavings) {
+        call(address, LEAVINGS, new PeerMessages.LeavingPush(leavings), body -> {});
+    }
+
     /** Contacts the seeds and starts the gossip rounds. */
     void start(SelfEntry self, LaterStartListener laterStarts) {
         mSelf = self;
@@ -232,7 +244,8 @@
     private PeerMessages.GossipMessage gossipMessage(
             List<HostState> entries,
             @Nullable List<ServerRateLimit> limits,
-            @Nullable List<ServerWarmUp> warmUps) {
+            @Nullable List<ServerWarmUp> warmUps,
+            @Nullable List<ServerLeaving> leavings) {
         StoreVersion control = mStoreReplica.table(StoreTable.CONTROL).lastChange();
         StoreVersion servers = mStoreReplica.table(StoreTable.SERVERS).lastChange();
         return new PeerMessages.GossipMessage(
@@ -244,6 +257,8 @@
                 limits,
                 mWarmUps.digest(),
                 warmUps == null ? null : PeerMessages.WarmUp.ofAll(warmUps, System.nanoTime()),
+                mLeavings.digest(),
+                leavings,
                 control.era(),
                 servers.era());
     }
@@ -252,7 +267,7 @@
         call(
                 address,
                 EXCHANGE,
-                gossipMessage(mMembers.recentStates(System.nanoTime()), null, null),
+                gossipMessage(mMembers.recentStates(System.nanoTime()), null, null, null),
                 body -> {
                     PeerMessages.GossipMessage response =
                             PeerCodec.decode(body, PeerMessages.GossipMessage.class);
@@ -261,6 +276,8 @@
                     mLimitGossip.reconcile(address, response.limitsDigest(), response.limits());
                     mWarmUpGossip.reconcile(
                             address, response.warmUpsDigest(), received(response.warmUps()));
+                    mLeavingGossip.reconcile(
+                            address, response.leavingsDigest(), response.leavings());
                 });
     }
 
@@ -372,7 +389,8 @@
                                 gossipMessage(
                                         newerEntries,
                                         mLimitGossip.conditionsFor(message.limitsDigest()),
-                                        mWarmUpGossip.conditionsFor(message.warmUpsDigest()))));
+                                        mWarmUpGossip.conditionsFor(message.warmUpsDigest()),
+                                        mLeavingGossip.conditionsFor(message.leavingsDigest()))));
             } else if (path.equals(LIMITS)) {
                 mLimits.merge(PeerCodec.decode(body, PeerMessages.RateLimitPush.class).limits());
                 Responses.text(exchange, 200, "");
@@ -381,6 +399,9 @@
                         PeerCodec.decode(body, PeerMessages.WarmUpPush.class);
                 mWarmUps.merge(PeerMessages.WarmUp.receivedAll(push.warmUps(), System.nanoTime()));
                 Responses.text(exchange, 200, "");
+            } else if (path.equals(LEAVINGS)) {
+                mLeavings.merge(PeerCodec.decode(body, PeerMessages.LeavingPush.class).leavings());
+                Responses.text(exchange, 200, "");
             } else if (path.equals(CHANGES)) {
                 PeerMessages.ChangePush push =
                         PeerCodec.decode(body, PeerMessages.ChangePush.class);
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.steering.HostState;
+import org.redwingladder.steering.ServerLeaving;
 import org.redwingladder.steering.ServerRateLimit;
 import org.redwingladder.steering.ServerWarmUp;
 
@@ -26,6 +27,9 @@
      * @param warmUpsDigest a hash of the warm-ups of servers that the sender knows beside their
      *     registrations, 0 if it knows none
      * @param warmUps these warm-ups, under the same condition as {@code limits}
+     * @param leavingsDigest a hash of the servers that said that they leave, as far as the sender
+     *     knows, 0 if it knows none
+     * @param leavings these servers, under the same condition as {@code limits}
      * @param controlEra the era of {@code controlChanged}; 0 if none is known, as in messages of
      *     hosts that do not send eras
      * @param serversEra the era of {@code serversChanged}
@@ -39,6 +43,8 @@
             @Nullable List<ServerRateLimit> limits,
             long warmUpsDigest,
             @Nullable List<WarmUp> warmUps,
+            long leavingsDigest,
+            @Nullable List<ServerLeaving> leavings,
             long controlEra,
             long serversEra) {
         /** Returns the version of the last known change of the control table. */
@@ -61,6 +67,15 @@
         }
     }
 
+    /** Servers that leave, which the receiver may not know yet. */
+    record LeavingPush(List<ServerLeaving> leavings) {
+        LeavingPush {
+            if (leavings == null) {
+                throw new IllegalArgumentException("missing leavings");
+            }
+        }
+    }
+
     /** Warm-ups that the receiver may not know yet. */
     record WarmUpPush(List<WarmUp> warmUps) {
         WarmUpPush {
--- a/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.CallException;
@@ -81,6 +82,7 @@
         mRateLimitMetrics = new RateLimitMetrics(metrics);
         conditions.rateLimits().replicated().onChange(this::applyRateLimits);
         conditions.warmUps().replicated().onChange(this::applyWarmUps);
+        conditions.leavings().replicated().onChange(this::applyLeavings);
         mSenders = SenderSelector.create(config.host());
         mPlacer.rateShares(this::rateShare);
     }
@@ -119,6 +121,10 @@
         mBackends.applyWarmUps(mConditions.warmUps().table());
     }
 
+    private void applyLeavings() {
+        mBackends.applyLeavings(mConditions.leavings().table());
+    }
+
     /** Returns the share of a server's rate that this host may use. */
     private SenderShare rateShare(String service, String serverId, int maxSenders) {
         long now = System.nanoTime();
@@ -155,6 +161,7 @@
         mConditions.updateServers(servers.values(), now);
         applyRateLimits();
         applyWarmUps();
+        applyLeavings();
         if (before != mBackends.size()) {
             mLog.event("state", "servers").with("count", mBackends.size()).write();
         }
@@ -182,7 +189,7 @@
 
     /** Returns whether an attempt may still be sent to the server that was chosen for it. */
     boolean maySend(Backend backend) {
-        return mBackends.mayReceive(backend);
+        return mBackends.mayReceive(backend, System.nanoTime());
     }
 
     /** Returns the observed service times. */
@@ -237,7 +244,12 @@
             mConditions.rateLimits().recordAnswer(server, response.limit(), sentNanos);
         }
         if (response.fromExpectedServer()) {
-            recordAnswer(server, response.coldMillis(), sentNanos);
+            recordAnswer(server, response.coldMillis(), response.leaving(), sentNanos);
+            if (response.retryAfterMillis() > 0) {
+                backend.holdOffUntil(
+                        System.nanoTime()
+                                + TimeUnit.MILLISECONDS.toNanos(response.retryAfterMillis()));
+            }
         }
     }
 
@@ -245,12 +257,15 @@
     void recordHealth(Backend backend, WireFormat.Health health, long sentNanos) {
         ServerRegistration server = backend.registration();
         if (health.serverId() == null || health.serverId().equals(server.id())) {
-            recordAnswer(server, health.coldMillis(), sentNanos);
+            recordAnswer(server, health.coldMillis(), health.leaving(), sentNanos);
         }
     }
 
     private void recordAnswer(
-            ServerRegistration server, @Nullable Long coldMillis, long sentNanos) {
+            ServerRegistration server, @Nullable Long coldMillis, boolean leaving, long sentNanos) {
+        if (leaving) {
+            mConditions.leavings().recordLeaving(server);
+        }
         mConditions
                 .warmUps()
                 .recordAnswer(server, coldMillis, mBackends.warmUpMillis(server), sentNanos);
@@ -269,13 +284,16 @@
      * @param all whether all servers are to be checked, or only those that are absent
      */
     List<Backend> serversToCheck(boolean all) {
+        long now = System.nanoTime();
         List<Backend> due =
-                mBackends.usable().stream().filter(backend -> all || backend.absent()).toList();
+                mBackends.usable().stream()
+                        .filter(backend -> all || backend.absent())
+                        .filter(backend -> backend.holdOffNanos(now) == 0)
+                        .toList();
         if (due.isEmpty()) {
             return due;
         }
-        HealthCheckers checkers =
-                HealthCheckers.among(mMembers.alive(System.nanoTime()), mConfig.regionOfZone());
+        HealthCheckers checkers = HealthCheckers.among(mMembers.alive(now), mConfig.regionOfZone());
         return due.stream()
                 .filter(b -> checkers.isChecker(mConfig.host(), b.registration()))
                 .toList();
--- a/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
+++ b/daemon/src/main/java/org/redwingladder/entry/WireFormat.java
@@ -37,6 +37,9 @@
      * @param limit the request rate that the server accepts from all hosts together
      * @param coldMillis for how much longer the server says that it is cold, null if it says
      *     nothing
+     * @param leaving whether the server says that it leaves
+     * @param retryAfterMillis for how long the server, which rejects the request, wants nothing
+     *     more from this host; 0 if it says nothing
      */
     record ServerHeaders(
             boolean notRun,
@@ -44,7 +47,9 @@
             boolean processed,
             @Nullable LoadSample load,
             RateLimitStatement limit,
-            @Nullable Long coldMillis) {
+            @Nullable Long coldMillis,
+            boolean leaving,
+            long retryAfterMillis) {
 
         /** Returns whether the expected server sent the response. */
         boolean fromExpectedServer() {
@@ -67,8 +72,9 @@
      * @param serverId the id that the server states, null if it states none
      * @param coldMillis for how much longer the server says that it is cold, null if it says
      *     nothing
+     * @param leaving whether the server says that it leaves
      */
-    record Health(@Nullable String serverId, @Nullable Long coldMillis) {}
+    record Health(@Nullable String serverId, @Nullable Long coldMillis, boolean leaving) {}
 
     /**
      * A client's look-up of entry hosts.
--- a/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/GossipServiceTest.java
@@ -136,7 +136,7 @@
                 new HostState(
                         "odd", 1, 1, "z1", peerAddress, "10.0.0.1:80", true, true, 1, Map.of());
         return new PeerMessages.GossipMessage(
-                "odd", List.of(host), number, number, 0, null, 0, null, era, era);
+                "odd", List.of(host), number, number, 0, null, 0, null, 0, null, era, era);
     }
 
     @Nested
--- a/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
+++ b/daemon/src/test/java/org/redwingladder/entry/PeerCodecTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.redwingladder.http.JsonException;
 import org.redwingladder.steering.HostState;
+import org.redwingladder.steering.ServerLeaving;
 import org.redwingladder.steering.ServerRateLimit;
 
 class PeerCodecTest {
@@ -42,6 +43,8 @@
                 List.of(
                         new PeerMessages.WarmUp("i-1", 1, 2500L, 2, "h1"),
                         new PeerMessages.WarmUp("i-2", 1, null, 1, "h2")),
+                97,
+                List.of(new ServerLeaving("i-3", 1, "h1")),
                 3,
                 4);
     }
@@ -107,6 +110,8 @@
             assertThat(read.limits()).isNull();
             assertThat(read.warmUpsDigest()).isZero();
             assertThat(read.warmUps()).isNull();
+            assertThat(read.leavingsDigest()).isZero();
+            assertThat(read.leavings()).isNull();
             Former former = PeerCodec.decode(PeerCodec.encode(gossipMessage(1)), Former.class);
             assertThat(former.serversChanged()).isEqualTo(42);
         }
--- a/tool/src/main/java/org/redwingladder/tool/RequestCause.java
+++ b/tool/src/main/java/org/redwingladder/tool/RequestCause.java
@@ -20,6 +20,7 @@
                     "server-absent",
                     "server-cold",
                     "server-ejected",
+                    "server-leaving",
                     "server-limit",
                     "server-limit-ended",
                     "restored",
