Move the exchange of server conditions out of GossipService

ServerConditionExchange has them now; messages and paths are unchanged. PeerCodecTest, GossipServiceTest, ChangePropagationTest and ServerStatementTest pass.

--- a/daemon/src/main/java/org/redwingladder/entry/GossipService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/GossipService.java
@@ -15,9 +15,6 @@
 import org.redwingladder.http.JsonException;
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HostState;
-import org.redwingladder.steering.ServerLeaving;
-import org.redwingladder.steering.ServerRateLimit;
-import org.redwingladder.steering.ServerWarmUp;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -29,11 +26,7 @@
     private static final String EXCHANGE = "/peer/exchange";
     private static final String COPY = "/peer/copy";
     private static final String CHANGES = "/peer/changes";
-    private static final String LIMITS = "/peer/limits";
-    private static final String WARM_UPS = "/peer/warm-ups";
-    private static final String LEAVINGS = "/peer/leavings";
-    private static final Set<String> PEER_PATHS =
-            Set.of(EXCHANGE, COPY, CHANGES, LIMITS, WARM_UPS, LEAVINGS);
+    private static final Set<String> PEER_PATHS = Set.of(EXCHANGE, COPY, CHANGES);
     private static final String METRICS = "/metrics";
 
     /** Allows four rounds before a host of the same zone is considered dead. */
@@ -50,12 +43,7 @@
     private final EntryConfig mConfig;
     private final GossipMembership mMembers;
     private final StoreReplica mStoreReplica;
-    private final ReplicatedConditions<ServerRateLimit> mLimits;
-    private final ServerConditionGossip<ServerRateLimit> mLimitGossip;
-    private final ReplicatedConditions<ServerWarmUp> mWarmUps;
-    private final ServerConditionGossip<ServerWarmUp> mWarmUpGossip;
-    private final ReplicatedConditions<ServerLeaving> mLeavings;
-    private final ServerConditionGossip<ServerLeaving> mLeavingGossip;
+    private final ServerConditionExchange mConditions;
     private final PeerClient mPeers;
     private final PeerMessageReader mMessages = new PeerMessageReader();
     private final XnioIoThread mThread;
@@ -100,35 +88,17 @@
         mSeeds = config.seeds();
         mMembers = members;
         mStoreReplica = replica;
-        mLimits = conditions.rateLimits().replicated();
-        mWarmUps = conditions.warmUps().replicated();
-        mLeavings = conditions.leavings().replicated();
         mPeers = new PeerClient(httpClient, thread, log, metrics);
         mThread = thread;
         mLog = log;
         mMetrics = metrics;
-        mLimitGossip =
-                new ServerConditionGossip<>(config, members, mLimits, thread, this::sendLimits);
-        mWarmUpGossip =
-                new ServerConditionGossip<>(config, members, mWarmUps, thread, this::sendWarmUps);
-        mLeavingGossip =
-                new ServerConditionGossip<>(config, members, mLeavings, thread, this::sendLeavings);
-    }
-
-    private void sendLimits(String address, List<ServerRateLimit> limits) {
-        call(address, LIMITS, new PeerMessages.RateLimitPush(limits), body -> {});
-    }
-
-    private void sendWarmUps(String address, List<ServerWarmUp> warmUps) {
-        call(
-                address,
-                WARM_UPS,
-                new PeerMessages.WarmUpPush(PeerMessages.WarmUp.ofAll(warmUps, System.nanoTime())),
-                body -> {});
-    }
-
-    private void sendLeavings(String address, List<ServerLeaving> leavings) {
-        call(address, LEAVINGS, new PeerMessages.LeavingPush(leavings), body -> {});
+        mConditions =
+                new ServerConditionExchange(
+                        config,
+                        members,
+                        conditions,
+                        thread,
+                        (address, path, message) -> call(address, path, message, body -> {}));
     }
 
     /** Contacts the seeds and starts the gossip rounds. */
@@ -241,24 +211,27 @@
         }
     }
 
+    /**
+     * Returns a gossip message.
+     *
+     * @param asked the message to which it is the response, null if it is none
+     */
     private PeerMessages.GossipMessage gossipMessage(
-            List<HostState> entries,
-            @Nullable List<ServerRateLimit> limits,
-            @Nullable List<ServerWarmUp> warmUps,
-            @Nullable List<ServerLeaving> leavings) {
+            List<HostState> entries, PeerMessages.@Nullable GossipMessage asked) {
         StoreVersion control = mStoreReplica.table(StoreTable.CONTROL).lastChange();
         StoreVersion servers = mStoreReplica.table(StoreTable.SERVERS).lastChange();
+        PeerMessages.ConditionNews news = mConditions.news(asked);
         return new PeerMessages.GossipMessage(
                 mConfig.host(),
                 entries,
                 control.number(),
                 servers.number(),
-                mLimits.digest(),
-                limits,
-                mWarmUps.digest(),
-                warmUps == null ? null : PeerMessages.WarmUp.ofAll(warmUps, System.nanoTime()),
-                mLeavings.digest(),
-                leavings,
+                news.limitsDigest(),
+                news.limits(),
+                news.warmUpsDigest(),
+                news.warmUps(),
+                news.leavingsDigest(),
+                news.leavings(),
                 control.era(),
                 servers.era());
     }
@@ -267,25 +240,16 @@
         call(
                 address,
                 EXCHANGE,
-                gossipMessage(mMembers.recentStates(System.nanoTime()), null, null, null),
+                gossipMessage(mMembers.recentStates(System.nanoTime()), null),
                 body -> {
                     PeerMessages.GossipMessage response =
                             PeerCodec.decode(body, PeerMessages.GossipMessage.class);
                     mAnyResponseSeen = true;
                     mergeGossip(address, response);
-                    mLimitGossip.reconcile(address, response.limitsDigest(), response.limits());
-                    mWarmUpGossip.reconcile(
-                            address, response.warmUpsDigest(), received(response.warmUps()));
-                    mLeavingGossip.reconcile(
-                            address, response.leavingsDigest(), response.leavings());
+                    mConditions.reconcile(address, response);
                 });
     }
 
-    private static @Nullable List<ServerWarmUp> received(
-            @Nullable List<PeerMessages.WarmUp> warmUps) {
-        return warmUps == null ? null : PeerMessages.WarmUp.receivedAll(warmUps, System.nanoTime());
-    }
-
     private void call(String address, String path, Object message, PeerClient.BodyReader reader) {
         mPeers.call(address, path, PeerCodec.encode(message), reader);
     }
@@ -360,7 +324,7 @@
         String path = exchange.getRequestPath();
         if (path.equals(METRICS)) {
             Responses.text(exchange, 200, MetricsFormatter.toPrometheusText(mMetrics.registry()));
-        } else if (PEER_PATHS.contains(path)) {
+        } else if (PEER_PATHS.contains(path) || ServerConditionExchange.PATHS.contains(path)) {
             exchange.dispatch(
                     SameThreadExecutor.INSTANCE,
                     () ->
@@ -383,24 +347,9 @@
                 // The response omits entries that the sender already knows.
                 List<HostState> newerEntries =
                         mMembers.recentStatesNewerThan(message.hosts(), System.nanoTime());
-                Responses.binary(
-                        exchange,
-                        PeerCodec.encode(
-                                gossipMessage(
-                                        newerEntries,
-                                        mLimitGossip.conditionsFor(message.limitsDigest()),
-                                        mWarmUpGossip.conditionsFor(message.warmUpsDigest()),
-                                        mLeavingGossip.conditionsFor(message.leavingsDigest()))));
-            } else if (path.equals(LIMITS)) {
-                mLimits.merge(PeerCodec.decode(body, PeerMessages.RateLimitPush.class).limits());
-                Responses.text(exchange, 200, "");
-            } else if (path.equals(WARM_UPS)) {
-                PeerMessages.WarmUpPush push =
-                        PeerCodec.decode(body, PeerMessages.WarmUpPush.class);
-                mWarmUps.merge(PeerMessages.WarmUp.receivedAll(push.warmUps(), System.nanoTime()));
-                Responses.text(exchange, 200, "");
-            } else if (path.equals(LEAVINGS)) {
-                mLeavings.merge(PeerCodec.decode(body, PeerMessages.LeavingPush.class).leavings());
+                Responses.binary(exchange, PeerCodec.encode(gossipMessage(newerEntries, message)));
+            } else if (ServerConditionExchange.PATHS.contains(path)) {
+                mConditions.receive(path, body);
                 Responses.text(exchange, 200, "");
             } else if (path.equals(CHANGES)) {
                 PeerMessages.ChangePush push =
--- a/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
+++ b/daemon/src/main/java/org/redwingladder/entry/PeerMessages.java
@@ -58,6 +58,17 @@
         }
     }
 
+    /**
+     * The part of a {@link GossipMessage} about servers; the components are those of the message.
+     */
+    record ConditionNews(
+            long limitsDigest,
+            @Nullable List<ServerRateLimit> limits,
+            long warmUpsDigest,
+            @Nullable List<WarmUp> warmUps,
+            long leavingsDigest,
+            @Nullable List<ServerLeaving> leavings) {}
+
     /** Rate limits that the receiver may not know yet. */
     record RateLimitPush(List<ServerRateLimit> limits) {
         RateLimitPush {
--- a/daemon/src/main/java/org/redwingladder/entry/ServerConditionGossip.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerConditionGossip.java
@@ -95,6 +95,11 @@
         return receivers;
     }
 
+    /** Returns a hash of the conditions, which hosts compare before they send them. */
+    long digest() {
+        return mConditions.digest();
+    }
+
     /** Returns the conditions for a host with the given digest, null if it knows them. */
     @Nullable List<T> conditionsFor(long digest) {
         return digest == mConditions.digest() ? null : mConditions.registered();
