--- a/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
+++ b/core/src/main/java/org/redwingladder/steering/FreshnessPolicy.java
@@ -29,6 +29,9 @@
     /** Exceeds a round trip between regions and the answer of a slow store. */
     public static final long STORE_TIMEOUT_NANOS = 400_000_000L;
 
+    /** Exceeds the wait for a host's own call to the store and the call itself. */
+    private static final long STORE_AWAY_MARGIN_NANOS = 800_000_000L;
+
     /**
      * The size of a region from which the age grows with it, so that the questions to its readers
      * do not.
@@ -146,11 +149,30 @@
         return askAgeNanos(alive) + QUESTION_TIMEOUT_NANOS;
     }
 
+    /**
+     * Returns whether the store is taken to be away: the proof of a table is older than it gets
+     * while some host of the region can reach the store.
+     */
+    public static boolean storeAway(
+            long provenNanos,
+            Collection<HostState> alive,
+            String region,
+            Map<String, String> regionOfZone,
+            long nowNanos) {
+        return nowNanos - provenNanos
+                > askAgeNanos(alive, region, regionOfZone)
+                        + QUESTION_TIMEOUT_NANOS
+                        + STORE_AWAY_MARGIN_NANOS;
+    }
+
     private long askAgeNanos(Collection<HostState> alive) {
+        return askAgeNanos(alive, mRegion, mRegionOfZone);
+    }
+
+    private static long askAgeNanos(
+            Collection<HostState> alive, String region, Map<String, String> regionOfZone) {
         long hosts =
-                alive.stream()
-                        .filter(host -> mRegion.equals(mRegionOfZone.get(host.zone())))
-                        .count();
+                alive.stream().filter(host -> region.equals(regionOfZone.get(host.zone()))).count();
         return ASK_AGE_NANOS + Math.max(0, hosts - LARGE_REGION_HOSTS) * ASK_AGE_NANOS_PER_HOST;
     }
 
--- a/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
+++ b/core/src/test/java/org/redwingladder/steering/FreshnessPolicyTest.java
@@ -107,4 +107,17 @@
                     .isLessThanOrEqualTo(STORE_READS_PER_SECOND / 4);
         }
     }
+
+    @Nested
+    class StoreAway {
+        /** Servers would be asked for their health because a reader is replaced. */
+        @ParameterizedTest
+        @CsvSource({"1700, false", "2400, true"})
+        void isAssumedOnlyOfAnOlderProofThanThatOfALostReader(long ageMillis, boolean away) {
+            assertThat(
+                            FreshnessPolicy.storeAway(
+                                    0, List.of(), "r", Map.of(), ageMillis * 1_000_000))
+                    .isEqualTo(away);
+        }
+    }
 }
--- a/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
+++ b/daemon/src/main/java/org/redwingladder/entry/EntryHost.java
@@ -139,7 +139,7 @@
                         config, mMembers, mReplica, mHttpClient, mThread, log, mMetrics);
         mHealthChecks =
                 new ServerHealthChecks(
-                        mRouter, wire, mFreshness::storeAway, mHttpClient, mThread, mMetrics);
+                        mRouter, wire, this::serversProvenNanos, mHttpClient, mThread, mMetrics);
         mRegistration = new HostRegistration(config.host(), mMembers, mThread, log);
         mProxy =
                 new ProxyHandler(
@@ -266,6 +266,10 @@
         return !informed || !mReplica.ready();
     }
 
+    private long serversProvenNanos() {
+        return mReplica.freshness().provenNanos(StoreTable.SERVERS);
+    }
+
     private long settingsVersion() {
         var settings = mReplica.settings();
         return settings == null ? 0 : settings.version();
--- a/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
+++ b/daemon/src/main/java/org/redwingladder/entry/FreshnessService.java
@@ -33,9 +33,6 @@
     /** Reading a whole table takes longer than reading changes. */
     private static final long READ_TIMEOUT_MILLIS = 1_500;
 
-    /** Exceeds the wait for an own call to the store and the call itself. */
-    private static final long STORE_AWAY_MARGIN_NANOS = 800_000_000L;
-
     private static final long LOG_PERIOD_NANOS = 1_000_000_000L;
 
     private final EntryConfig mConfig;
@@ -93,16 +90,6 @@
         mStopped = true;
     }
 
-    /**
-     * Returns whether no host that this one asks has heard of the store for longer than it takes to
-     * renew a proof while some can reach it.
-     */
-    boolean storeAway() {
-        long now = System.nanoTime();
-        return now - mFreshness.provenNanos(StoreTable.SERVERS)
-                > mPolicy.outdatedAgeNanos(mMembers.alive(now)) + STORE_AWAY_MARGIN_NANOS;
-    }
-
     /** Begins or ends to follow the store, as this host ranks among the trusted ones. */
     void updateWatching() {
         long now = System.nanoTime();
--- a/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
+++ b/daemon/src/main/java/org/redwingladder/entry/RequestRouter.java
@@ -13,8 +13,10 @@
 import org.redwingladder.steering.Backend;
 import org.redwingladder.steering.BackendSet;
 import org.redwingladder.steering.BalancerDecision;
+import org.redwingladder.steering.FreshnessPolicy;
 import org.redwingladder.steering.GossipMembership;
 import org.redwingladder.steering.HealthCheckers;
+import org.redwingladder.steering.HostState;
 import org.redwingladder.steering.IdleConnectionLimit;
 import org.redwingladder.steering.LoadBalancer;
 import org.redwingladder.steering.Route;
@@ -279,12 +281,17 @@
     }
 
     /**
-     * Returns the servers whose health this host has to check.
+     * Returns the servers whose health this host has to check: its part of all servers while the
+     * store is away, else of those that are absent.
      *
-     * @param all whether all servers are to be checked, or only those that are absent
+     * @param serversProvenNanos up to when the table of servers is proven to be up to date
      */
-    List<Backend> serversToCheck(boolean all) {
+    List<Backend> serversToCheck(long serversProvenNanos) {
         long now = System.nanoTime();
+        List<HostState> alive = mMembers.alive(now);
+        boolean all =
+                FreshnessPolicy.storeAway(
+                        serversProvenNanos, alive, mConfig.region(), mConfig.regionOfZone(), now);
         List<Backend> due =
                 mBackends.usable().stream()
                         .filter(backend -> all || backend.absent())
@@ -293,7 +300,7 @@
         if (due.isEmpty()) {
             return due;
         }
-        HealthCheckers checkers = HealthCheckers.among(mMembers.alive(now), mConfig.regionOfZone());
+        HealthCheckers checkers = HealthCheckers.among(alive, mConfig.regionOfZone());
         return due.stream()
                 .filter(b -> checkers.isChecker(mConfig.host(), b.registration()))
                 .toList();
--- a/daemon/src/main/java/org/redwingladder/entry/ServerHealthChecks.java
+++ b/daemon/src/main/java/org/redwingladder/entry/ServerHealthChecks.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.redwingladder.http.Addresses;
 import org.redwingladder.http.AsyncHttpClient;
@@ -32,23 +32,29 @@
 
     private final RequestRouter mRouter;
     private final WireFormat mWire;
-    private final BooleanSupplier mStoreAway;
+    private final LongSupplier mServersProven;
     private final AsyncHttpClient mHttpClient;
     private final XnioIoThread mThread;
     private final EntryMetrics mMetrics;
     private final Set<Backend> mInFlight = new HashSet<>();
     private boolean mStopped;
 
+    /**
+     * Creates the checks.
+     *
+     * @param serversProven supplies the instant up to which the table of servers is proven to be up
+     *     to date
+     */
     ServerHealthChecks(
             RequestRouter router,
             WireFormat wire,
-            BooleanSupplier storeAway,
+            LongSupplier serversProven,
             AsyncHttpClient httpClient,
             XnioIoThread thread,
             EntryMetrics metrics) {
         mRouter = router;
         mWire = wire;
-        mStoreAway = storeAway;
+        mServersProven = serversProven;
         mHttpClient = httpClient;
         mThread = thread;
         mMetrics = metrics;
@@ -72,7 +78,7 @@
             return;
         }
         try {
-            for (Backend backend : mRouter.serversToCheck(mStoreAway.getAsBoolean())) {
+            for (Backend backend : mRouter.serversToCheck(mServersProven.getAsLong())) {
                 check(backend);
             }
         } finally {
